--- /dev/null
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -0,0 +1,248 @@
+//! All endpoints, and the work of all nodes at them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::AttemptEnd;
+use super::ColdGate;
+use super::EndpointEntry;
+use super::HealthRecord;
+use super::LoadNews;
+use super::WaitNews;
+use super::WorkItem;
+use super::WorkNews;
+use super::WorkPhase;
+use crate::routing::ServiceProfile;
+use crate::types::AttemptId;
+use crate::types::DataCentreId;
+use crate::types::EndpointId;
+use crate::types::MonotonicTime;
+use crate::types::NodeId;
+use crate::types::RegionId;
+use crate::types::ServiceId;
+
+/// Time after which the work of a silent node no longer counts.
+const NEWS_LIFETIME: Duration = Duration::from_millis(2_500);
+
+/// Most attempts told in one message, so that it fits a datagram.
+const MAX_WORKS_TOLD: usize = 48;
+
+/// Most waiting requests told in one message.
+const MAX_WAITS_TOLD: usize = 16;
+
+/// One endpoint with what this node has seen of it.
+#[derive(Clone, Debug)]
+pub struct EndpointState {
+    /// What it announces of itself.
+    pub entry: EndpointEntry,
+    /// What this node has seen of it.
+    pub health: HealthRecord,
+    gate: ColdGate,
+}
+
+#[derive(Clone, Debug)]
+struct PeerView {
+    incarnation: u64,
+    sequence: u64,
+    received: MonotonicTime,
+    works: Vec<WorkItem>,
+    waits: Vec<WaitNews>,
+}
+
+/// Holds what one node knows of the endpoints and of all work at them.
+#[derive(Clone, Debug, Default)]
+pub struct FleetBoard {
+    endpoints: BTreeMap<EndpointId, EndpointState>,
+    evacuated: BTreeSet<DataCentreId>,
+    regions: BTreeMap<DataCentreId, RegionId>,
+    services: BTreeMap<ServiceId, ServiceProfile>,
+    own: HashMap<AttemptId, WorkItem>,
+    peers: BTreeMap<NodeId, PeerView>,
+    nodes: usize,
+}
+
+// Commands.
+impl FleetBoard {
+    /// Creates a board that knows the region of each data centre.
+    pub fn new(regions: BTreeMap<DataCentreId, RegionId>) -> Self {
+        Self { regions, nodes: 1, ..Self::default() }
+    }
+
+    /// Takes in the services of a new configuration.
+    pub fn set_services(&mut self, services: BTreeMap<ServiceId, ServiceProfile>) {
+        self.services = services;
+    }
+
+    /// Takes in the number of nodes that share the limits of the fleet.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Adds an endpoint or takes in what it announces anew.
+    pub fn set_endpoint(&mut self, entry: EndpointEntry) {
+        match self.endpoints.get_mut(&entry.id) {
+            Some(state) if state.entry.birth == entry.birth => state.entry = entry,
+            _ => {
+                let id = Arc::clone(&entry.id);
+                let (health, gate) = (HealthRecord::default(), ColdGate::default());
+                self.endpoints.insert(id, EndpointState { entry, health, gate });
+            },
+        }
+    }
+
+    /// Removes an endpoint that has left.
+    pub fn remove_endpoint(&mut self, endpoint: &str) {
+        self.endpoints.remove(endpoint);
+    }
+
+    /// Stops or resumes new work for a data centre.
+    ///
+    /// Endpoints that are taken back count as cold, as they may have restarted meanwhile.
+    pub fn set_evacuated(&mut self, centre: DataCentreId, is_out: bool, now: MonotonicTime) {
+        if is_out {
+            self.evacuated.insert(centre);
+            return;
+        }
+        if !self.evacuated.remove(&centre) {
+            return;
+        }
+        for state in self.endpoints.values_mut().filter(|state| state.entry.data_centre == centre) {
+            let profile = self.services.get(&state.entry.service);
+            let cold_time = profile.map(|profile| profile.cold_time).unwrap_or_default();
+            state.entry.cold_until = state.entry.cold_until.max(now + cold_time);
+        }
+    }
+
+    /// Records that an attempt is about to be sent.
+    pub fn begin(&mut self, attempt: AttemptId, work: WorkItem, now: MonotonicTime) {
+        if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
+            state.gate.record(now);
+        }
+        self.own.insert(attempt, work);
+    }
+
+    /// Records that the answer of an attempt began.
+    pub fn note_writing(&mut self, attempt: AttemptId, now: MonotonicTime) {
+        let Some(work) = self.own.get_mut(&attempt) else {
+            return;
+        };
+        work.phase = WorkPhase::Writing;
+        work.since = now;
+    }
+
+    /// Records that an attempt is over.
+    pub fn end(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
+        let Some(work) = self.own.remove(&attempt) else {
+            return;
+        };
+        if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
+            state.health.record_end(end, now);
+        }
+    }
+
+    /// Records how many times longer than expected an endpoint took to begin an answer.
+    pub fn note_pace(&mut self, endpoint: &str, ratio: f64, now: MonotonicTime) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.health.record_pace(ratio, now);
+        }
+    }
+
+    /// Takes in what another node tells; returns whether it was newer than what was known.
+    pub fn learn(&mut self, news: LoadNews, now: MonotonicTime) -> bool {
+        let order = (news.incarnation, news.sequence);
+        let known = self.peers.get(&news.node);
+        if known.is_some_and(|view| (view.incarnation, view.sequence) >= order) {
+            return false;
+        }
+        let view = PeerView {
+            incarnation: news.incarnation,
+            sequence: news.sequence,
+            received: now,
+            works: news.works.into_iter().map(|work| work.into_work(now)).collect(),
+            waits: news.waits,
+        };
+        self.peers.insert(news.node, view);
+        true
+    }
+
+    /// Forgets nodes that have been silent for too long.
+    pub fn forget_silent(&mut self, now: MonotonicTime) {
+        self.peers.retain(|_, view| view.received + NEWS_LIFETIME > now);
+    }
+}
+
+// Queries.
+impl FleetBoard {
+    /// Returns an endpoint.
+    pub fn endpoint(&self, id: &str) -> Option<&EndpointState> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values()
+    }
+
+    /// Returns the profile of a service.
+    pub fn service(&self, service: &str) -> Option<&ServiceProfile> {
+        self.services.get(service)
+    }
+
+    /// Returns the region of a data centre.
+    pub fn region(&self, centre: &str) -> Option<&RegionId> {
+        self.regions.get(centre)
+    }
+
+    /// Returns whether operators want no new work in a data centre.
+    pub fn is_evacuated(&self, centre: &str) -> bool {
+        self.evacuated.contains(centre)
+    }
+
+    /// Returns whether an endpoint may take one more request as far as its start is concerned.
+    pub fn admits_cold(&self, state: &EndpointState, now: MonotonicTime) -> bool {
+        if now >= state.entry.cold_until {
+            return true;
+        }
+        let rate = self.services.get(&state.entry.service).map_or(0.0, |profile| profile.cold_rate);
+        rate <= 0.0 || state.gate.admits(rate, self.nodes, now)
+    }
+
+    /// Returns the work of all nodes.
+    pub fn works(&self, now: MonotonicTime) -> impl Iterator<Item = &WorkItem> {
+        let peers = self.peers.values().filter(move |view| view.received + NEWS_LIFETIME > now);
+        self.own.values().chain(peers.flat_map(|view| &view.works))
+    }
+
+    /// Returns the requests that wait at other nodes, with the time since each arrived.
+    pub fn peer_waits(
+        &self,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = (&NodeId, u64, Duration)> {
+        let peers = self.peers.iter().filter(move |(_, view)| view.received + NEWS_LIFETIME > now);
+        peers.flat_map(move |(node, view)| {
+            let since = now.saturating_sub(view.received);
+            view.waits.iter().map(move |wait| {
+                let age = Duration::from_millis(u64::from(wait.age_ms)) + since;
+                (node, u64::from(wait.prompt), age)
+            })
+        })
+    }
+
+    /// Returns the number of nodes that share the limits of the fleet.
+    pub fn nodes(&self) -> usize {
+        self.nodes
+    }
+
+    /// Returns this node's work as it is told to others.
+    pub fn work_news(&self, now: MonotonicTime) -> Vec<WorkNews> {
+        self.own.values().take(MAX_WORKS_TOLD).map(|work| WorkNews::new(work, now)).collect()
+    }
+
+    /// Returns the most waiting requests that are told to others.
+    pub fn max_waits_told() -> usize {
+        MAX_WAITS_TOLD
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-core/src/fleet/work.rs
@@ -0,0 +1,49 @@
+//! Work that is under way at an endpoint.
+
+use std::time::Duration;
+
+use crate::types::EndpointId;
+use crate::types::MonotonicTime;
+use crate::types::TokenCount;
+
+/// Tells how much one request asks of an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WorkSize {
+    /// Tokens of the prompt; zero for calls of plain services.
+    pub prompt: TokenCount,
+    /// Tokens that the answer is expected to have.
+    pub expected_output: TokenCount,
+    /// Most tokens that the answer may have.
+    pub max_output: TokenCount,
+}
+
+impl WorkSize {
+    /// Returns the most memory that the request holds, in tokens.
+    pub fn memory(&self) -> TokenCount {
+        self.prompt + self.max_output
+    }
+}
+
+/// Says how far an attempt has come.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum WorkPhase {
+    /// No part of the answer has come.
+    Reading,
+    /// Events of the answer come.
+    Writing,
+}
+
+/// Describes one attempt that is under way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkItem {
+    /// Endpoint that runs it.
+    pub endpoint: EndpointId,
+    /// What it asks of the endpoint.
+    pub size: WorkSize,
+    /// How far it has come.
+    pub phase: WorkPhase,
+    /// Moment at which it was sent, or began to be answered.
+    pub since: MonotonicTime,
+    /// Longest pause between events that is on time.
+    pub pause_limit: Duration,
+}
--- a/crates/apricotknot-core/src/lib.rs
+++ b/crates/apricotknot-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! Start with [`types`] for the shared vocabulary, then read the module of the decision at hand.
 
 pub mod admission;
+pub mod fleet;
 pub mod ledger;
 pub mod membership;
 pub mod objectives;
@@ -14,4 +15,5 @@
 pub mod placement;
 pub mod quarantine;
 pub mod resources;
+pub mod routing;
 pub mod types;
--- /dev/null
+++ b/crates/apricotknot-core/src/routing/mod.rs
@@ -0,0 +1,15 @@
+//! Routes of opaque requests: which service a request goes to, for whom, and on what terms.
+
+mod desired_state;
+mod key_table;
+mod route;
+mod route_table;
+
+pub use desired_state::DesiredState;
+pub use desired_state::InputLimits;
+pub use desired_state::ServiceProfile;
+pub use key_table::KeyTable;
+pub use route::CallKind;
+pub use route::RouteSpec;
+pub use route::WeightedTarget;
+pub use route_table::RouteTable;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -0,0 +1,317 @@
+//! One connection of a caller: requests are read from it, answers written to it.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use actix_codec::Framed;
+use actix_http::Request;
+use actix_http::RequestHead;
+use actix_http::Response;
+use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
+use actix_http::StatusCode;
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::Codec;
+use actix_http::h1::Message;
+use actix_http::h1::MessageType;
+use actix_http::header::HeaderMap;
+use actix_rt::net::TcpStream;
+use apricotknot_core::routing::InputLimits;
+use bytes::Bytes;
+use bytes::BytesMut;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::ConnectionError;
+use super::IncomingRequest;
+
+/// Bytes that each line of a head has beside its name and value.
+const LINE_BYTES: usize = 4;
+
+/// Longest time to write out what is left before a connection is closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for the caller to read an answer to a request whose rest was not read.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes that are thrown away at once.
+const DRAIN_BYTES: usize = 16 * 1_024;
+
+/// Reads requests and writes answers, one after the other.
+pub struct CallerConnection {
+    framed: Framed<TcpStream, Codec>,
+    /// Request that came before the answer to the one before it was complete.
+    early: Option<Request>,
+    buffered: usize,
+    has_input_left: bool,
+    is_closing: bool,
+}
+
+// Commands.
+impl CallerConnection {
+    /// Takes over a connection that was accepted.
+    pub fn new(stream: TcpStream, config: &ServiceConfig) -> Self {
+        // Without it an event waits for the caller's acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
+        Self {
+            framed: Framed::new(stream, Codec::new(config.clone())),
+            early: None,
+            buffered: 0,
+            has_input_left: false,
+            is_closing: false,
+        }
+    }
+
+    /// Reads the next request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; the connection is of no more use then, but for an answer that
+    /// says so.
+    pub async fn read_request(
+        &mut self,
+        limits: &InputLimits,
+    ) -> Result<IncomingRequest, ConnectionError> {
+        let mut request = self.read_head(limits).await?;
+        let head = std::mem::take(request.head_mut());
+        if head_bytes(&head) > limits.header_bytes {
+            self.has_input_left = true;
+            return Err(ConnectionError::HeadTooLarge);
+        }
+        let body = self.read_body(&head, limits).await?;
+        Ok(IncomingRequest { head, body })
+    }
+
+    /// Writes the head of an answer whose body has `size`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the head cannot be encoded.
+    pub fn begin_answer(
+        &mut self,
+        head: &ResponseHead,
+        size: BodySize,
+    ) -> Result<(), ConnectionError> {
+        let mut response = Response::new(head.status).drop_body();
+        *response.headers_mut() = head.headers.clone();
+        if self.is_closing {
+            response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        }
+        self.encode(Message::Item((response, size)))
+    }
+
+    /// Adds a part of the answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the part cannot be encoded.
+    pub fn push(&mut self, part: Bytes) -> Result<(), ConnectionError> {
+        self.buffered += part.len();
+        self.encode(Message::Chunk(Some(part)))
+    }
+
+    /// Marks the answer's body as complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the mark cannot be encoded.
+    pub fn finish_answer(&mut self) -> Result<(), ConnectionError> {
+        self.encode(Message::Chunk(None))
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the answer cannot be encoded.
+    pub fn answer(&mut self, head: &ResponseHead, body: Bytes) -> Result<(), ConnectionError> {
+        let size = BodySize::Sized(u64::try_from(body.len()).unwrap_or(u64::MAX));
+        self.begin_answer(head, size)?;
+        if body.is_empty() {
+            return Ok(());
+        }
+        self.push(body)
+    }
+
+    /// Gives up an answer that is not whole, so that the caller cannot take it for one that is.
+    pub fn abort(&mut self) {
+        self.is_closing = true;
+        self.has_input_left = false;
+    }
+
+    /// Closes the connection after the next answer, and says so in its head.
+    pub fn close_after_answer(&mut self) {
+        self.is_closing = true;
+    }
+
+    /// Writes out all that is buffered.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the connection broke.
+    pub async fn flush(&mut self) -> Result<(), ConnectionError> {
+        poll_fn(|context| self.poll_flush(context)).await
+    }
+
+    /// Writes on, and ends only when the caller has closed the connection.
+    pub async fn wait_gone(&mut self) {
+        poll_fn(|context| self.poll_gone(context)).await;
+    }
+
+    /// Writes out what is left and closes the connection.
+    pub async fn close(mut self) {
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.flush()).await;
+        if self.has_input_left {
+            // Closing with input left would reset the connection before the answer was read.
+            self.has_input_left = false;
+            let _ = tokio::time::timeout(LINGER_TIMEOUT, self.drain()).await;
+        }
+        let close = poll_fn(|context| {
+            Pin::new(&mut self.framed).close::<Message<(Response<()>, BodySize)>>(context)
+        });
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, close).await;
+    }
+
+    async fn drain(&mut self) {
+        use tokio::io::AsyncReadExt;
+        let mut scratch = BytesMut::with_capacity(DRAIN_BYTES);
+        while let Ok(count) = self.framed.io_mut().read_buf(&mut scratch).await {
+            if count == 0 {
+                return;
+            }
+            scratch.clear();
+        }
+    }
+
+    async fn read_head(&mut self, limits: &InputLimits) -> Result<Request, ConnectionError> {
+        if let Some(request) = self.early.take() {
+            return Ok(request);
+        }
+        if self.framed.is_read_buf_empty() {
+            let idle_end = Instant::now() + limits.idle_timeout;
+            let readable = timeout_at(idle_end, self.framed.io_ref().readable()).await;
+            readable.map_err(|_| ConnectionError::Idle)?.map_err(|_| ConnectionError::Closed)?;
+        }
+        let head_end = Instant::now() + limits.header_timeout;
+        match timeout_at(head_end, self.next_message()).await {
+            Err(_) => Err(ConnectionError::HeadTimeout),
+            Ok(Ok(Message::Item(request))) => Ok(request),
+            Ok(Ok(Message::Chunk(_))) => Err(ConnectionError::Malformed),
+            Ok(Err(error)) => Err(error),
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        head: &RequestHead,
+        limits: &InputLimits,
+    ) -> Result<Bytes, ConnectionError> {
+        if self.framed.codec_ref().message_type() != MessageType::Payload {
+            return Ok(Bytes::new());
+        }
+        let declared = declared_length(&head.headers);
+        if declared.is_some_and(|length| length > limits.body_bytes) {
+            self.has_input_left = true;
+            return Err(ConnectionError::BodyTooLarge);
+        }
+        if head.expect() {
+            let proceed = Response::new(StatusCode::CONTINUE).drop_body();
+            self.encode(Message::Item((proceed, BodySize::None)))?;
+            self.flush().await?;
+        }
+        let mut body = BytesMut::with_capacity(declared.unwrap_or_default());
+        loop {
+            // Each part may take as long as a head: slow callers are borne, silent ones are not.
+            let part_end = Instant::now() + limits.idle_timeout;
+            match timeout_at(part_end, self.next_message()).await {
+                Err(_) => return Err(ConnectionError::BodyTimeout),
+                Ok(Ok(Message::Chunk(Some(part)))) => body.extend_from_slice(&part),
+                Ok(Ok(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Ok(Message::Item(_))) => return Err(ConnectionError::Malformed),
+                Ok(Err(error)) => return Err(error),
+            }
+            if body.len() > limits.body_bytes {
+                self.has_input_left = true;
+                return Err(ConnectionError::BodyTooLarge);
+            }
+        }
+    }
+
+    async fn next_message(&mut self) -> Result<Message<Request>, ConnectionError> {
+        let next = poll_fn(|context| Pin::new(&mut self.framed).next_item(context)).await;
+        match next {
+            None => Err(ConnectionError::Closed),
+            Some(Ok(message)) => Ok(message),
+            Some(Err(ParseError::Io(_))) => Err(ConnectionError::Closed),
+            Some(Err(ParseError::TooLarge)) => {
+                self.has_input_left = true;
+                Err(ConnectionError::HeadTooLarge)
+            },
+            Some(Err(_)) => {
+                self.has_input_left = true;
+                Err(ConnectionError::Malformed)
+            },
+        }
+    }
+
+    fn encode(
+        &mut self,
+        message: Message<(Response<()>, BodySize)>,
+    ) -> Result<(), ConnectionError> {
+        Pin::new(&mut self.framed).write(message).map_err(|_| ConnectionError::Closed)
+    }
+
+    fn poll_flush(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ConnectionError>> {
+        let flushed =
+            Pin::new(&mut self.framed).flush::<Message<(Response<()>, BodySize)>>(context);
+        flushed.map(|result| {
+            self.buffered = 0;
+            result.map_err(|_| ConnectionError::Closed)
+        })
+    }
+
+    fn poll_gone(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if matches!(self.poll_flush(context), Poll::Ready(Err(_))) {
+            return Poll::Ready(());
+        }
+        if self.early.is_some() {
+            return Poll::Pending;
+        }
+        match Pin::new(&mut self.framed).next_item(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Ok(Message::Item(request)))) => {
+                self.early = Some(request);
+                Poll::Pending
+            },
+            // The end of the input, a broken connection, or bytes that are no request.
+            Poll::Ready(_) => Poll::Ready(()),
+        }
+    }
+}
+
+// Queries.
+impl CallerConnection {
+    /// Returns whether the connection can carry one more request.
+    pub fn is_kept(&self) -> bool {
+        !self.is_closing && !self.has_input_left && self.framed.codec_ref().keep_alive()
+    }
+
+    /// Returns the bytes of the answer that may not have been written out.
+    pub fn buffered(&self) -> usize {
+        self.buffered
+    }
+}
+
+fn head_bytes(head: &RequestHead) -> usize {
+    let target = head.uri.path_and_query().map_or(1, |target| target.as_str().len());
+    let headers = head.headers.iter();
+    target + headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES).sum::<usize>()
+}
+
+fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    headers.get(actix_http::header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -0,0 +1,88 @@
+//! What traffic threads tell the control thread.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::Fingerprint;
+use apricotknot_core::fleet::PlacementAsk;
+use apricotknot_core::types::AttemptId;
+use apricotknot_core::types::EndpointId;
+use tokio::sync::oneshot;
+
+/// Asks where one attempt of a request goes.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest {
+    /// Identifies the attempt.
+    pub attempt: AttemptId,
+    /// What has to be placed.
+    pub ask: PlacementAsk,
+    /// Whether the request was sent to an endpoint before.
+    pub is_repeat: bool,
+    /// Identifies requests that are equal.
+    pub fingerprint: Fingerprint,
+}
+
+/// Allows one attempt at one endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointGrant {
+    /// Identifies the attempt.
+    pub attempt: AttemptId,
+    /// Endpoint that is to run the attempt.
+    pub endpoint: EndpointId,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Time after which the answer is expected to begin.
+    pub expected: Duration,
+}
+
+/// Says why an attempt may not be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlacementRefusal {
+    /// Why it may not be sent.
+    pub reason: &'static str,
+    /// Time after which it is worth trying again.
+    pub retry_after: Duration,
+}
+
+/// Tells the control thread something.
+#[derive(Debug)]
+pub enum ControlCommand {
+    /// A request asks for an endpoint.
+    Place {
+        /// What is asked.
+        request: Box<PlacementRequest>,
+        /// Takes the answer; dropped when the request is over.
+        reply: oneshot::Sender<Result<EndpointGrant, PlacementRefusal>>,
+    },
+    /// The answer of an attempt began.
+    Writing {
+        /// Identifies the attempt.
+        attempt: AttemptId,
+        /// Endpoint that answers.
+        endpoint: EndpointId,
+        /// Time until the answer began, in relation to the time that was expected.
+        pace: f64,
+    },
+    /// An attempt is over.
+    Ended {
+        /// Identifies the attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        end: AttemptEnd,
+    },
+    /// An endpoint broke the connection while it ran a request.
+    Crashed {
+        /// Identifies equal requests.
+        fingerprint: Fingerprint,
+        /// Endpoint that broke the connection.
+        endpoint: EndpointId,
+    },
+    /// A request was answered.
+    Cleared {
+        /// Identifies equal requests.
+        fingerprint: Fingerprint,
+    },
+    /// The node stops.
+    Stop,
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -0,0 +1,180 @@
+//! Follows the key-value service: reads all of it once, then waits for changes.
+
+use std::time::Duration;
+
+use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::RevisionNumber;
+use rand::RngExt;
+use tokio::sync::mpsc;
+
+use super::RegistryChange;
+use super::registry;
+use crate::clock::BootClock;
+use crate::protocol::RecordChange;
+use crate::protocol::RecordTranslator;
+use crate::protocol::TranslationError;
+use crate::store::MetadataStore;
+use crate::store::StoreEntry;
+use crate::store::StoreError;
+use crate::store::StoreErrorKind;
+use crate::store::WatchEvent;
+
+/// Longest time that one call waits for changes; knowledge is as old as the call that gave it.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after the first failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Failed calls after which everything is read anew.
+const FAILURES_BEFORE_RELOAD: u32 = 3;
+
+/// Prefix of all keys.
+const ALL_KEYS: &str = "";
+
+/// Tells what was learned from the key-value service.
+#[derive(Debug)]
+pub enum FeedEvent {
+    /// All that the service held.
+    Snapshot {
+        /// What the platform's records say.
+        records: Vec<RecordChange>,
+        /// What the system's own records say.
+        registry: Vec<RegistryChange>,
+        /// Moment at which this was true.
+        as_of: MonotonicTime,
+    },
+    /// What has changed since.
+    Changes {
+        /// What the platform's records say.
+        records: Vec<RecordChange>,
+        /// What the system's own records say.
+        registry: Vec<RegistryChange>,
+        /// Moment at which nothing else had changed.
+        as_of: MonotonicTime,
+    },
+    /// A record could not be read, and was left out.
+    Skipped(TranslationError),
+    /// The service cannot be reached.
+    Lost(StoreError),
+}
+
+/// Follows the key-value service for one node.
+pub struct StateFeed<S, T> {
+    store: S,
+    translator: T,
+    clock: BootClock,
+    events: mpsc::Sender<FeedEvent>,
+    failures: u32,
+}
+
+impl<S: MetadataStore, T: RecordTranslator> StateFeed<S, T> {
+    /// Creates the feed that reads from `store`.
+    pub fn new(
+        store: S,
+        translator: T,
+        clock: BootClock,
+        events: mpsc::Sender<FeedEvent>,
+    ) -> Self {
+        Self { store, translator, clock, events, failures: 0 }
+    }
+
+    /// Follows the service until nobody takes the events any more.
+    pub async fn run(mut self) {
+        while !self.events.is_closed() {
+            let Some(revision) = self.load().await else {
+                continue;
+            };
+            self.follow(revision).await;
+        }
+    }
+
+    async fn load(&mut self) -> Option<RevisionNumber> {
+        let as_of = self.clock.now();
+        match self.store.range(ALL_KEYS).await {
+            Err(error) => {
+                self.fail(error).await;
+                None
+            },
+            Ok(range) => {
+                self.failures = 0;
+                let (records, registry) = self.read_entries(&range.entries).await;
+                self.send(FeedEvent::Snapshot { records, registry, as_of }).await;
+                Some(range.revision)
+            },
+        }
+    }
+
+    /// Waits for changes after `revision` until history is gone or calls fail.
+    async fn follow(&mut self, mut revision: RevisionNumber) {
+        while !self.events.is_closed() {
+            let as_of = self.clock.now();
+            match self.store.changes(ALL_KEYS, revision, WATCH_WAIT).await {
+                Ok(batch) => {
+                    self.failures = 0;
+                    revision = revision.max(batch.revision);
+                    self.tell_changes(&batch.events, as_of).await;
+                },
+                Err(error) if error.kind() == StoreErrorKind::Compacted => return,
+                Err(error) => {
+                    self.fail(error).await;
+                    if self.failures >= FAILURES_BEFORE_RELOAD {
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    async fn tell_changes(&mut self, events: &[WatchEvent], as_of: MonotonicTime) {
+        let mut records = Vec::new();
+        let mut registry = Vec::new();
+        for event in events {
+            match event {
+                WatchEvent::Put(entry) => {
+                    let (written, own) = self.read_entries(std::slice::from_ref(entry)).await;
+                    records.extend(written);
+                    registry.extend(own);
+                },
+                WatchEvent::Delete { key, .. } => {
+                    records.extend(self.translator.read_removed(key));
+                    registry.extend(registry::read_removed(key));
+                },
+            }
+        }
+        self.send(FeedEvent::Changes { records, registry, as_of }).await;
+    }
+
+    async fn read_entries(
+        &mut self,
+        entries: &[StoreEntry],
+    ) -> (Vec<RecordChange>, Vec<RegistryChange>) {
+        let now = self.clock.now();
+        let mut records = Vec::new();
+        let mut own = Vec::new();
+        for entry in entries {
+            own.extend(registry::read_written(&entry.key, &entry.value));
+            match self.translator.read_written(&entry.key, &entry.value, now) {
+                Ok(record) => records.extend(record),
+                Err(error) => self.send(FeedEvent::Skipped(error)).await,
+            }
+        }
+        (records, own)
+    }
+
+    async fn fail(&mut self, error: StoreError) {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.send(FeedEvent::Lost(error)).await;
+        // Nodes that lost the service together do not come back together.
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(pause.min(MAX_PAUSE).mul_f64(jitter)).await;
+    }
+
+    async fn send(&self, event: FeedEvent) {
+        // A closed channel means that the node stops; the loops look for that.
+        let _ = self.events.send(event).await;
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -0,0 +1,27 @@
+//! The control thread: what the node knows, and where its requests go.
+
+mod announcer;
+mod command;
+mod feed;
+mod handle;
+mod registry;
+mod runner;
+mod shared;
+mod state;
+
+pub use command::ControlCommand;
+pub use command::EndpointGrant;
+pub use command::PlacementRefusal;
+pub use command::PlacementRequest;
+pub use feed::FeedEvent;
+pub use feed::StateFeed;
+pub use handle::AttemptGuard;
+pub use handle::ControlHandle;
+pub use registry::NodeRecord;
+pub use registry::NodeRegistry;
+pub use registry::RegistryChange;
+pub use runner::ControlParts;
+pub use runner::start_control;
+pub use shared::SharedState;
+pub use state::ControlState;
+pub use state::StateLimits;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -0,0 +1,285 @@
+//! The control thread's loop: inputs go to the control state, its effects are carried out.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use actix_rt::System;
+use apricotknot_core::types::DataCentreId;
+use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::NodeId;
+use apricotknot_core::types::RegionId;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use super::ControlCommand;
+use super::ControlHandle;
+use super::ControlState;
+use super::FeedEvent;
+use super::NodeRecord;
+use super::SharedState;
+use super::StateFeed;
+use super::StateLimits;
+use super::announcer::NodeAnnouncer;
+use crate::clock::BootClock;
+use crate::peers::NewsSeal;
+use crate::protocol::RecordTranslator;
+use crate::store::MetadataStore;
+
+/// Time between two looks at the clock while a request waits.
+const BUSY_TICK: Duration = Duration::from_millis(15);
+
+/// Time between two looks at the clock otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
+/// Longest time between two messages to other nodes.
+const NEWS_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Events of the key-value service that may wait to be taken in.
+const FEED_CAPACITY: usize = 64;
+
+/// Commands taken in before other inputs are looked at again.
+const COMMAND_BATCH: usize = 64;
+
+/// Largest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 16 * 1_024;
+
+/// Holds what the control thread is made from.
+pub struct ControlParts<S, T> {
+    /// Names the node.
+    pub node: NodeId,
+    /// Life of the node.
+    pub incarnation: u64,
+    /// Address at which the node takes news.
+    pub news_address: SocketAddr,
+    /// Region of each data centre.
+    pub regions: BTreeMap<DataCentreId, RegionId>,
+    /// Limits that all nodes keep together.
+    pub limits: StateLimits,
+    /// Key-value service.
+    pub store: S,
+    /// Reader of the platform's records.
+    pub translator: T,
+    /// What is published to the traffic threads.
+    pub shared: Arc<SharedState>,
+    /// Log.
+    pub logger: Logger,
+}
+
+/// Starts the control thread; `parts` is called on it, as a store belongs to one thread.
+///
+/// # Errors
+///
+/// Returns an error where no thread can be started.
+pub fn start_control<S, T, F>(parts: F) -> io::Result<(ControlHandle, thread::JoinHandle<()>)>
+where
+    S: MetadataStore,
+    T: RecordTranslator,
+    F: FnOnce() -> ControlParts<S, T> + Send + 'static,
+{
+    let (sender, commands) = mpsc::unbounded_channel();
+    let thread = thread::Builder::new().name("control".into()).spawn(move || {
+        System::new().block_on(async move {
+            let parts = parts();
+            let logger = parts.logger.clone();
+            match ControlRunner::start(parts, commands).await {
+                Ok(runner) => runner.run().await,
+                Err(error) => {
+                    slog::error!(logger, "control: cannot start"; "error" => %error);
+                },
+            }
+        });
+    })?;
+    Ok((ControlHandle::new(sender), thread))
+}
+
+struct ControlRunner {
+    state: ControlState,
+    node: NodeId,
+    clock: BootClock,
+    commands: mpsc::UnboundedReceiver<ControlCommand>,
+    feed: mpsc::Receiver<FeedEvent>,
+    socket: UdpSocket,
+    seal: Option<NewsSeal>,
+    shared: Arc<SharedState>,
+    logger: Logger,
+    told_at: MonotonicTime,
+    has_news: bool,
+}
+
+impl ControlRunner {
+    async fn start<S: MetadataStore, T: RecordTranslator>(
+        parts: ControlParts<S, T>,
+        commands: mpsc::UnboundedReceiver<ControlCommand>,
+    ) -> io::Result<Self> {
+        let clock = BootClock;
+        let socket = UdpSocket::bind(parts.news_address).await?;
+        let (events, feed) = mpsc::channel(FEED_CAPACITY);
+        actix_rt::spawn(
+            StateFeed::new(parts.store.clone(), parts.translator, clock, events).run(),
+        );
+        let record =
+            NodeRecord { address: parts.news_address, incarnation: parts.incarnation };
+        let logger = parts.logger.clone();
+        actix_rt::spawn(
+            NodeAnnouncer::new(parts.store, Arc::clone(&parts.node), record, logger).run(),
+        );
+        let node = Arc::clone(&parts.node);
+        let state = ControlState::new(parts.node, parts.incarnation, parts.regions, parts.limits);
+        Ok(Self {
+            state,
+            node,
+            clock,
+            commands,
+            feed,
+            socket,
+            seal: None,
+            shared: parts.shared,
+            logger: parts.logger,
+            told_at: MonotonicTime::ZERO,
+            has_news: false,
+        })
+    }
+
+    async fn run(mut self) {
+        let mut batch = Vec::with_capacity(COMMAND_BATCH);
+        let mut datagram = vec![0_u8; DATAGRAM_BYTES];
+        loop {
+            let idle = if self.state.has_waiting() { BUSY_TICK } else { IDLE_TICK };
+            tokio::select! {
+                count = self.commands.recv_many(&mut batch, COMMAND_BATCH) => {
+                    if count == 0 || self.handle_batch(&mut batch) {
+                        return;
+                    }
+                },
+                Some(event) = self.feed.recv() => self.handle_feed(event),
+                Ok((length, _)) = self.socket.recv_from(&mut datagram) => {
+                    self.handle_datagram(&datagram[..length]);
+                },
+                () = tokio::time::sleep(idle) => {},
+            }
+            self.state.tick(self.clock.now());
+            self.tell_news();
+        }
+    }
+
+    fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> bool {
+        for command in batch.drain(..) {
+            if matches!(command, ControlCommand::Stop) {
+                return true;
+            }
+            self.state.handle(command, self.clock.now());
+            self.has_news = true;
+        }
+        false
+    }
+
+    fn handle_feed(&mut self, event: FeedEvent) {
+        let now = self.clock.now();
+        let (newest, as_of) = match event {
+            FeedEvent::Snapshot { records, registry, as_of } => {
+                info!(
+                    self.logger, "control: store read";
+                    "records" => records.len(), "nodes" => registry.len()
+                );
+                (self.state.load(records, registry, now), as_of)
+            },
+            FeedEvent::Changes { records, registry, as_of } => {
+                self.log_changes(&records);
+                (self.state.apply(records, registry, now), as_of)
+            },
+            FeedEvent::Skipped(error) => {
+                warn!(self.logger, "control: record skipped"; "error" => %error);
+                return;
+            },
+            FeedEvent::Lost(error) => {
+                if self.state.lose_store() {
+                    let age = self.shared.age(now);
+                    warn!(
+                        self.logger, "control: store lost";
+                        "error" => %error, "knowledge_ms" => millis(age)
+                    );
+                }
+                return;
+            },
+        };
+        if let Some(desired) = newest {
+            info!(
+                self.logger, "control: configuration in force";
+                "version" => desired.version, "routes" => desired.routes.len()
+            );
+            self.shared.set_desired(desired);
+        }
+        self.shared.confirm(as_of);
+        if self.seal.is_none() {
+            self.seal = self.state.secret().and_then(NewsSeal::new);
+        }
+    }
+
+    fn log_changes(&self, records: &[crate::protocol::RecordChange]) {
+        use crate::protocol::RecordChange;
+        for record in records {
+            match record {
+                RecordChange::Endpoint(entry) => info!(
+                    self.logger, "control: endpoint announced";
+                    "endpoint" => %entry.id, "phase" => ?entry.phase,
+                    "service" => %entry.service, "data_centre" => %entry.data_centre
+                ),
+                RecordChange::EndpointGone(endpoint) => {
+                    info!(self.logger, "control: endpoint gone"; "endpoint" => %endpoint);
+                },
+                RecordChange::CentreOut(centre) => {
+                    info!(self.logger, "control: data centre out"; "data_centre" => %centre);
+                },
+                RecordChange::CentreBack(centre) => {
+                    info!(self.logger, "control: data centre back"; "data_centre" => %centre);
+                },
+                RecordChange::Configuration(_) => {},
+            }
+        }
+    }
+
+    fn handle_datagram(&mut self, datagram: &[u8]) {
+        let Some(seal) = &self.seal else {
+            return;
+        };
+        match seal.read(datagram) {
+            Ok(news) => self.state.learn(news, self.clock.now()),
+            Err(error) => warn!(self.logger, "control: news dropped"; "error" => %error),
+        }
+    }
+
+    fn tell_news(&mut self) {
+        let now = self.clock.now();
+        if !self.has_news && now < self.told_at + NEWS_INTERVAL {
+            return;
+        }
+        let Some(seal) = &self.seal else {
+            return;
+        };
+        self.has_news = false;
+        self.told_at = now;
+        let news = self.state.take_news(now);
+        let datagram = match seal.write(&news) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                warn!(self.logger, "control: news not sent"; "error" => %error);
+                return;
+            },
+        };
+        for peer in self.state.registry().peers(&self.node) {
+            // News that cannot be sent now is made good by the next.
+            let _ = self.socket.try_send_to(&datagram, peer);
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -0,0 +1,77 @@
+//! What the control thread publishes to the traffic threads.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use apricotknot_core::routing::DesiredState;
+use apricotknot_core::types::MonotonicTime;
+use tokio::sync::watch;
+
+/// Holds the configuration in force and how old the knowledge of it is.
+#[derive(Debug)]
+pub struct SharedState {
+    desired: watch::Sender<Option<Arc<DesiredState>>>,
+    known_at_ms: AtomicU64,
+    is_stopping: AtomicBool,
+    max_age: Duration,
+}
+
+// Commands.
+impl SharedState {
+    /// Creates the state of a node that knows nothing; knowledge serves for `max_age`.
+    pub fn new(max_age: Duration) -> Self {
+        Self {
+            desired: watch::Sender::new(None),
+            known_at_ms: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
+            max_age,
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn set_desired(&self, desired: Arc<DesiredState>) {
+        self.desired.send_replace(Some(desired));
+    }
+
+    /// Notes that the configuration in force was the newest one at `moment`.
+    pub fn confirm(&self, moment: MonotonicTime) {
+        let millis = u64::try_from(moment.as_millis()).unwrap_or(u64::MAX);
+        self.known_at_ms.fetch_max(millis, Ordering::Release);
+    }
+
+    /// Notes that the node is about to stop.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+}
+
+// Queries.
+impl SharedState {
+    /// Returns the configuration in force.
+    pub fn desired(&self) -> Option<Arc<DesiredState>> {
+        self.desired.borrow().clone()
+    }
+
+    /// Returns the time since the configuration in force was surely the newest one.
+    pub fn age(&self, now: MonotonicTime) -> Duration {
+        now.saturating_sub(Duration::from_millis(self.known_at_ms.load(Ordering::Acquire)))
+    }
+
+    /// Returns whether the knowledge is young enough to let a key in.
+    pub fn is_fresh(&self, now: MonotonicTime) -> bool {
+        self.desired.borrow().is_some() && self.age(now) <= self.max_age
+    }
+
+    /// Returns whether the node is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Returns whether new connections should come to this node.
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        self.is_fresh(now) && !self.is_stopping()
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -0,0 +1,399 @@
+//! The control state of a node: it has no clock, socket or thread of its own.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::CrashBook;
+use apricotknot_core::fleet::CrashNote;
+use apricotknot_core::fleet::FleetBoard;
+use apricotknot_core::fleet::LoadNews;
+use apricotknot_core::fleet::PlacementAsk;
+use apricotknot_core::fleet::PlacementVerdict;
+use apricotknot_core::fleet::RetryShare;
+use apricotknot_core::fleet::RetryWindow;
+use apricotknot_core::fleet::WaitNews;
+use apricotknot_core::fleet::WorkItem;
+use apricotknot_core::fleet::WorkPhase;
+use apricotknot_core::fleet::place;
+use apricotknot_core::routing::DesiredState;
+use apricotknot_core::types::DataCentreId;
+use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::NodeId;
+use apricotknot_core::types::RegionId;
+use apricotknot_core::types::ServiceId;
+use tokio::sync::oneshot;
+
+use super::ControlCommand;
+use super::EndpointGrant;
+use super::NodeRegistry;
+use super::PlacementRefusal;
+use super::PlacementRequest;
+use super::RegistryChange;
+use crate::protocol::RecordChange;
+
+/// Time after the key-value service is back in which endpoints announce themselves again.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// Time after which a request that crashes endpoints may be tried again.
+const CONDEMNED_RETRY: Duration = Duration::from_secs(30);
+
+/// Time after which a request whose repeat was not allowed may come again.
+const REPEAT_RETRY: Duration = Duration::from_secs(1);
+
+/// Holds the limits that all nodes keep together.
+#[derive(Clone, Debug)]
+pub struct StateLimits {
+    /// Repeats that all nodes together may send.
+    pub retries: RetryShare,
+}
+
+type PlacementSender = oneshot::Sender<Result<EndpointGrant, PlacementRefusal>>;
+
+/// Holds a request that waits for an endpoint.
+#[derive(Debug)]
+struct WaitingRequest {
+    request: Box<PlacementRequest>,
+    reply: PlacementSender,
+}
+
+/// Holds what a node knows, and decides where its requests go.
+#[derive(Debug)]
+pub struct ControlState {
+    node: NodeId,
+    incarnation: u64,
+    sequence: u64,
+    limits: StateLimits,
+    board: FleetBoard,
+    registry: NodeRegistry,
+    crashes: CrashBook,
+    windows: BTreeMap<ServiceId, RetryWindow>,
+    waiting: Vec<WaitingRequest>,
+    desired: Option<Arc<DesiredState>>,
+    secret: Option<Vec<u8>>,
+    is_store_lost: bool,
+    store_back_at: Option<MonotonicTime>,
+    /// Endpoints that are no longer announced, but may be again shortly.
+    missing: BTreeMap<EndpointId, MonotonicTime>,
+}
+
+// Commands.
+impl ControlState {
+    /// Creates the state of a node that knows nothing yet.
+    pub fn new(
+        node: NodeId,
+        incarnation: u64,
+        regions: BTreeMap<DataCentreId, RegionId>,
+        limits: StateLimits,
+    ) -> Self {
+        Self {
+            node,
+            incarnation,
+            sequence: 0,
+            limits,
+            board: FleetBoard::new(regions),
+            registry: NodeRegistry::default(),
+            crashes: CrashBook::default(),
+            windows: BTreeMap::new(),
+            waiting: Vec::new(),
+            desired: None,
+            secret: None,
+            is_store_lost: false,
+            store_back_at: None,
+            missing: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a command of a traffic thread.
+    pub fn handle(&mut self, command: ControlCommand, now: MonotonicTime) {
+        match command {
+            ControlCommand::Place { request, reply } => self.ask(request, reply, now),
+            ControlCommand::Writing { attempt, endpoint, pace } => {
+                self.board.note_writing(attempt, now);
+                self.board.note_pace(&endpoint, pace, now);
+            },
+            ControlCommand::Ended { attempt, end } => self.board.end(attempt, end, now),
+            ControlCommand::Crashed { fingerprint, endpoint } => {
+                self.crashes.record(CrashNote { fingerprint, endpoint }, now);
+            },
+            ControlCommand::Cleared { fingerprint } => self.crashes.clear(fingerprint),
+            ControlCommand::Stop => {},
+        }
+    }
+
+    /// Takes in all that the key-value service holds; returns a configuration to put in force.
+    pub fn load(
+        &mut self,
+        records: Vec<RecordChange>,
+        registry: Vec<RegistryChange>,
+        now: MonotonicTime,
+    ) -> Option<Arc<DesiredState>> {
+        self.note_store(now);
+        let mut endpoints = BTreeSet::new();
+        let mut centres_out = BTreeSet::new();
+        for record in &records {
+            match record {
+                RecordChange::Endpoint(entry) => _ = endpoints.insert(Arc::clone(&entry.id)),
+                RecordChange::CentreOut(centre) => _ = centres_out.insert(Arc::clone(centre)),
+                _ => {},
+            }
+        }
+        let known: Vec<_> = self.board.endpoints().map(|state| &state.entry).cloned().collect();
+        for entry in known {
+            if !endpoints.contains(&entry.id) {
+                self.lose_endpoint(entry.id, now);
+            }
+            if !centres_out.contains(&entry.data_centre) {
+                self.board.set_evacuated(entry.data_centre, false, now);
+            }
+        }
+        let present = registry.iter().filter_map(|change| match change {
+            RegistryChange::Node(node, _) => Some(Arc::clone(node)),
+            _ => None,
+        });
+        self.registry.retain(&present.collect::<Vec<_>>(), now);
+        self.apply(records, registry, now)
+    }
+
+    /// Takes in changes; returns a configuration to put in force.
+    pub fn apply(
+        &mut self,
+        records: Vec<RecordChange>,
+        registry: Vec<RegistryChange>,
+        now: MonotonicTime,
+    ) -> Option<Arc<DesiredState>> {
+        self.note_store(now);
+        for change in registry {
+            self.apply_registry(change, now);
+        }
+        let mut newest = None;
+        for record in records {
+            newest = self.apply_record(record, now).or(newest);
+        }
+        newest
+    }
+
+    /// Notes that the key-value service cannot be reached; returns whether it could before.
+    pub fn lose_store(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_store_lost, true)
+    }
+
+    /// Takes in what another node tells.
+    pub fn learn(&mut self, mut news: LoadNews, now: MonotonicTime) {
+        if news.node == self.node {
+            return;
+        }
+        for note in std::mem::take(&mut news.crashes) {
+            self.crashes.learn(note, now);
+        }
+        self.board.learn(news, now);
+    }
+
+    /// Lets time pass, and tries again to place what waits.
+    pub fn tick(&mut self, now: MonotonicTime) {
+        self.board.forget_silent(now);
+        self.registry.expire(now);
+        self.board.set_nodes(self.registry.count());
+        self.drop_missing(now);
+        self.place_waiting(now);
+    }
+
+    /// Returns what other nodes are to be told.
+    pub fn take_news(&mut self, now: MonotonicTime) -> LoadNews {
+        self.sequence += 1;
+        LoadNews {
+            node: Arc::clone(&self.node),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            works: self.board.work_news(now),
+            waits: self.wait_news(now),
+            crashes: self.crashes.news(now),
+        }
+    }
+
+    fn ask(&mut self, request: Box<PlacementRequest>, reply: PlacementSender, now: MonotonicTime) {
+        if self.crashes.is_condemned(request.fingerprint, now) {
+            let reason = "crashes endpoints";
+            let _ = reply.send(Err(PlacementRefusal { reason, retry_after: CONDEMNED_RETRY }));
+            return;
+        }
+        let nodes = self.registry.count();
+        let window = self.windows.entry(Arc::clone(&request.ask.service)).or_default();
+        if !request.is_repeat {
+            window.record_request(&self.limits.retries, now);
+        } else if !window.take_repeat(&self.limits.retries, nodes, now) {
+            let reason = "retry budget spent";
+            let _ = reply.send(Err(PlacementRefusal { reason, retry_after: REPEAT_RETRY }));
+            return;
+        }
+        let waiting = WaitingRequest { request, reply };
+        let rank = self.rank(&waiting.request.ask, self.waiting.len(), now);
+        if let Some(waiting) = self.try_place(waiting, rank, now) {
+            self.waiting.push(waiting);
+        }
+    }
+
+    fn place_waiting(&mut self, now: MonotonicTime) {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|waiting| !waiting.reply.is_closed());
+        for request in waiting {
+            let rank = self.rank(&request.request.ask, self.waiting.len(), now);
+            if let Some(request) = self.try_place(request, rank, now) {
+                self.waiting.push(request);
+            }
+        }
+    }
+
+    /// Counts the requests that come before `ask`: `own` of this node, and older ones elsewhere.
+    fn rank(&self, ask: &PlacementAsk, own: usize, now: MonotonicTime) -> usize {
+        let age = now.saturating_sub(ask.arrived);
+        own + self.board.peer_waits(now).filter(|(_, _, waited)| *waited > age).count()
+    }
+
+    /// Places a request if it can be; returns it if it has to wait.
+    fn try_place(
+        &mut self,
+        waiting: WaitingRequest,
+        rank: usize,
+        now: MonotonicTime,
+    ) -> Option<WaitingRequest> {
+        match place(&self.board, &waiting.request.ask, rank, now) {
+            PlacementVerdict::Wait => return Some(waiting),
+            PlacementVerdict::Refuse { reason, retry_after } => {
+                let _ = waiting.reply.send(Err(PlacementRefusal { reason, retry_after }));
+            },
+            PlacementVerdict::Send { endpoint, expected } => {
+                self.grant(waiting, endpoint, expected, now);
+            },
+        }
+        None
+    }
+
+    fn grant(
+        &mut self,
+        waiting: WaitingRequest,
+        endpoint: EndpointId,
+        expected: Duration,
+        now: MonotonicTime,
+    ) {
+        let Some(address) = self.board.endpoint(&endpoint).map(|state| state.entry.address) else {
+            return;
+        };
+        let attempt = waiting.request.attempt;
+        let work = WorkItem {
+            endpoint: Arc::clone(&endpoint),
+            size: waiting.request.ask.size,
+            phase: WorkPhase::Reading,
+            since: now,
+            pause_limit: waiting.request.ask.pause_limit,
+        };
+        self.board.begin(attempt, work, now);
+        let grant = EndpointGrant { attempt, endpoint, address, expected };
+        if waiting.reply.send(Ok(grant)).is_err() {
+            self.board.end(attempt, AttemptEnd::Abandoned, now);
+        }
+    }
+
+    fn apply_registry(&mut self, change: RegistryChange, now: MonotonicTime) {
+        match change {
+            RegistryChange::Node(node, record) => self.registry.set(node, record),
+            RegistryChange::NodeGone(node) => self.registry.remove(&node, now),
+            RegistryChange::Secret(secret) => self.secret = Some(secret),
+        }
+    }
+
+    fn apply_record(
+        &mut self,
+        record: RecordChange,
+        now: MonotonicTime,
+    ) -> Option<Arc<DesiredState>> {
+        match record {
+            RecordChange::Configuration(desired) => return self.apply_desired(*desired),
+            RecordChange::Endpoint(entry) => {
+                self.missing.remove(&entry.id);
+                self.board.set_endpoint(entry);
+            },
+            RecordChange::EndpointGone(endpoint) => self.lose_endpoint(endpoint, now),
+            RecordChange::CentreOut(centre) => self.board.set_evacuated(centre, true, now),
+            RecordChange::CentreBack(centre) => self.board.set_evacuated(centre, false, now),
+        }
+        None
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    fn apply_desired(&mut self, desired: DesiredState) -> Option<Arc<DesiredState>> {
+        if self.desired.as_ref().is_some_and(|known| known.version >= desired.version) {
+            return None;
+        }
+        self.board.set_services(desired.services.clone());
+        let desired = Arc::new(desired);
+        self.desired = Some(Arc::clone(&desired));
+        Some(desired)
+    }
+
+    fn note_store(&mut self, now: MonotonicTime) {
+        if std::mem::replace(&mut self.is_store_lost, false) {
+            self.store_back_at = Some(now);
+        }
+    }
+
+    /// Removes an endpoint, or waits for it to come back where the service has just come back.
+    fn lose_endpoint(&mut self, endpoint: EndpointId, now: MonotonicTime) {
+        match self.store_back_at.map(|back| back + RETURN_TIME).filter(|end| *end > now) {
+            Some(end) => _ = self.missing.entry(endpoint).or_insert(end),
+            None => self.board.remove_endpoint(&endpoint),
+        }
+    }
+
+    fn drop_missing(&mut self, now: MonotonicTime) {
+        let over: Vec<EndpointId> = self
+            .missing
+            .iter()
+            .filter(|(_, end)| **end <= now)
+            .map(|(endpoint, _)| Arc::clone(endpoint))
+            .collect();
+        for endpoint in over {
+            self.missing.remove(&endpoint);
+            self.board.remove_endpoint(&endpoint);
+        }
+    }
+
+    fn wait_news(&self, now: MonotonicTime) -> Vec<WaitNews> {
+        let told = self.waiting.iter().take(FleetBoard::max_waits_told());
+        told.map(|waiting| {
+            let ask = &waiting.request.ask;
+            WaitNews {
+                prompt: u32::try_from(ask.size.prompt).unwrap_or(u32::MAX),
+                age_ms: u32::try_from(now.saturating_sub(ask.arrived).as_millis())
+                    .unwrap_or(u32::MAX),
+            }
+        })
+        .collect()
+    }
+}
+
+// Queries.
+impl ControlState {
+    /// Returns the endpoints and the work at them.
+    pub fn board(&self) -> &FleetBoard {
+        &self.board
+    }
+
+    /// Returns the nodes of the system.
+    pub fn registry(&self) -> &NodeRegistry {
+        &self.registry
+    }
+
+    /// Returns the secret with which nodes sign, where it is known.
+    pub fn secret(&self) -> Option<&[u8]> {
+        self.secret.as_deref()
+    }
+
+    /// Returns whether any request waits.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -0,0 +1,63 @@
+//! One attempt at one endpoint.
+
+use std::time::Duration;
+
+use actix_http::ResponseHead;
+use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::MonotonicTime;
+
+use crate::control::AttemptGuard;
+use crate::endpoint::EndpointExchange;
+
+/// Holds an attempt that was sent.
+pub(super) struct OpenAttempt {
+    /// Tells the control thread how the attempt ended.
+    pub(super) guard: AttemptGuard,
+    /// Endpoint that runs the attempt.
+    pub(super) endpoint: EndpointId,
+    /// Connection to the endpoint.
+    pub(super) exchange: EndpointExchange,
+    /// Longest silence until the answer begins.
+    pub(super) patience: Option<Duration>,
+    /// Time after which the answer was expected to begin.
+    pub(super) expected: Duration,
+    /// Moment at which the connection was made.
+    pub(super) sent_at: MonotonicTime,
+}
+
+/// Holds an attempt whose answer has begun.
+pub(super) struct AnsweredAttempt {
+    pub(super) open: OpenAttempt,
+    pub(super) head: ResponseHead,
+}
+
+/// Says why an attempt gave no answer that can be passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptFault {
+    /// The endpoint has not run the request and never will.
+    NotRun,
+    /// The endpoint may have run the request.
+    MayHaveRun,
+}
+
+/// Says what ended a wait before its time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum WaitBreak {
+    /// The caller has closed its connection.
+    CallerGone,
+    /// Time ran out.
+    Deadline,
+    /// Nothing came for longer than was borne.
+    Silence,
+}
+
+/// Says why a call is over without its whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CallBreak {
+    /// The attempt failed; another one may be made.
+    Attempt(AttemptFault),
+    /// The caller has closed its connection.
+    CallerGone,
+    /// Time ran out.
+    Deadline,
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -0,0 +1,544 @@
+//! Places a call, makes its attempts and passes the answer on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::ResponseHead;
+use actix_http::header::CONTENT_ENCODING;
+use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::PlacementAsk;
+use apricotknot_core::routing::CallKind;
+use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::MonotonicTime;
+use bytes::Bytes;
+use bytes::BytesMut;
+use slog::info;
+use slog::warn;
+
+use super::CallFault;
+use super::CallRecord;
+use super::TrafficContext;
+use super::attempt::AnsweredAttempt;
+use super::attempt::AttemptFault;
+use super::attempt::CallBreak;
+use super::attempt::OpenAttempt;
+use super::attempt::WaitBreak;
+use crate::CallLabels;
+use crate::caller::CallerConnection;
+use crate::caller::ConnectionError;
+use crate::caller::hop_free;
+use crate::control::AttemptGuard;
+use crate::control::ControlCommand;
+use crate::control::EndpointGrant;
+use crate::control::PlacementRequest;
+use crate::endpoint::EndpointExchange;
+use crate::endpoint::ExchangeError;
+use crate::endpoint::ExchangeOrder;
+use crate::protocol::AttemptOrder;
+use crate::protocol::CallProtocol;
+
+/// Longest time to connect to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Most endpoints that one call is offered to, those among them that refuse it.
+const MAX_SENDS: u32 = 4;
+
+/// Largest answer that is held back until it is whole, in bytes.
+const MAX_HELD_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// Prompts up to this length are read before longer ones.
+const SHORT_PROMPT: u64 = 24_000;
+
+/// Prompts up to this length are read before archives.
+const MEDIUM_PROMPT: u64 = 110_000;
+
+/// Shortest silence after which another endpoint is tried.
+const MIN_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Shortest time that counts as expected for an answer to begin.
+const MIN_EXPECTED: Duration = Duration::from_millis(50);
+
+/// How a call ended, for the log and the metrics.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum CallEnd {
+    /// An endpoint's answer was passed on whole.
+    Answered,
+    /// The gateway answered by itself.
+    Fault(CallFault),
+    /// The answer broke off after it had begun.
+    Cut,
+    /// The caller left.
+    CallerGone,
+}
+
+impl CallEnd {
+    /// Returns the name used in metrics and logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Fault(fault) => fault.name(),
+            Self::Cut => "cut",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+}
+
+/// Drives one call.
+pub(super) struct CallDriver<'a, P> {
+    pub(super) context: &'a TrafficContext<P>,
+    pub(super) connection: &'a mut CallerConnection,
+    pub(super) call: CallRecord,
+    pub(super) last_event: Option<u64>,
+    pub(super) has_begun: bool,
+    excluded: Vec<EndpointId>,
+    /// Endpoint of the newest attempt.
+    endpoint: Option<EndpointId>,
+    begun_after: Option<Duration>,
+    sends: u32,
+    runs: u32,
+    /// Answer that is passed on if no better one comes.
+    fallback: Option<(ResponseHead, Bytes)>,
+}
+
+impl<'a, P: CallProtocol> CallDriver<'a, P> {
+    pub(super) fn new(
+        context: &'a TrafficContext<P>,
+        connection: &'a mut CallerConnection,
+        call: CallRecord,
+    ) -> Self {
+        let last_event = call.terms.last_event;
+        Self {
+            context,
+            connection,
+            call,
+            last_event,
+            has_begun: false,
+            excluded: Vec::new(),
+            endpoint: None,
+            begun_after: None,
+            sends: 0,
+            runs: 0,
+            fallback: None,
+        }
+    }
+
+    /// Runs the call to its end.
+    pub(super) async fn run(mut self) -> CallEnd {
+        let end = loop {
+            let grant = match self.ask_grant().await {
+                Ok(grant) => grant,
+                Err(end) => break end,
+            };
+            match self.attempt(grant).await {
+                Ok(()) => break CallEnd::Answered,
+                Err(CallBreak::CallerGone) => break CallEnd::CallerGone,
+                Err(CallBreak::Deadline) => break self.end_late(),
+                Err(CallBreak::Attempt(fault)) if self.may_go_on(fault) => {},
+                Err(CallBreak::Attempt(_)) => break self.end_failed(None),
+            }
+        };
+        let end = self.tell_caller(end).await;
+        self.record(&end);
+        end
+    }
+
+    // Placing
+
+    async fn ask_grant(&mut self) -> Result<EndpointGrant, CallEnd> {
+        let request = PlacementRequest {
+            attempt: rand::random(),
+            ask: PlacementAsk {
+                service: Arc::clone(&self.call.service),
+                size: self.call.terms.size,
+                regions: self.call.regions.clone(),
+                excluded: self.excluded.clone(),
+                arrived: self.call.arrived,
+                target_latency: self.call.route.target_latency,
+                pause_limit: self.call.route.pause_limit.unwrap_or(Duration::MAX),
+                deadline: self.call.deadline,
+            },
+            is_repeat: self.sends > 0,
+            fingerprint: self.call.fingerprint,
+        };
+        let reply = self.context.control.place(request);
+        match self.unless_broken(reply, None).await {
+            Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
+            Err(_) => Err(self.end_late()),
+            Ok(Ok(Ok(grant))) => Ok(grant),
+            Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            }))),
+            Ok(Err(_)) => Err(self.end_failed(None)),
+        }
+    }
+
+    // Attempting
+
+    async fn attempt(&mut self, grant: EndpointGrant) -> Result<(), CallBreak> {
+        let open = self.open(grant).await?;
+        let answered = self.read_head(open).await?;
+        let is_stream = self.call.route.kind == CallKind::Stream;
+        if is_stream && answered.head.status.is_success() {
+            return self.relay_events(answered).await;
+        }
+        self.relay_whole(answered).await
+    }
+
+    async fn open(&mut self, grant: EndpointGrant) -> Result<OpenAttempt, CallBreak> {
+        let mut guard = AttemptGuard::new(self.context.control.clone(), grant.attempt);
+        let mut head = self.call.head.clone();
+        let order = AttemptOrder {
+            endpoint: Arc::clone(&grant.endpoint),
+            account: self.call.account.clone(),
+            time_left: self.call.deadline.saturating_sub(self.now()),
+            last_event: self.last_event,
+            urgency: urgency_of(self.call.terms.size.prompt),
+        };
+        self.context.protocol.write_attempt(&mut head, &order);
+        let order = ExchangeOrder {
+            address: grant.address,
+            head,
+            body: self.call.body.clone(),
+            connect_timeout: CONNECT_TIMEOUT,
+        };
+        let opening = EndpointExchange::open(&self.context.http, order);
+        match self.unless_broken(opening, None).await {
+            Err(WaitBreak::CallerGone) => Err(CallBreak::CallerGone),
+            Err(_) => Err(CallBreak::Deadline),
+            Ok(Err(error)) => {
+                guard.set_end(AttemptEnd::Unreachable);
+                Err(self.fail(guard, grant.endpoint, &error, AttemptFault::NotRun))
+            },
+            Ok(Ok(exchange)) => {
+                self.sends += 1;
+                self.endpoint = Some(Arc::clone(&grant.endpoint));
+                Ok(OpenAttempt {
+                    guard,
+                    endpoint: grant.endpoint,
+                    exchange,
+                    patience: self.patience(grant.expected),
+                    expected: grant.expected,
+                    sent_at: self.now(),
+                })
+            },
+        }
+    }
+
+    async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallBreak> {
+        let patience = open.patience;
+        match self.unless_broken(open.exchange.read_head(), patience).await {
+            Err(reason) => Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
+            Ok(Err(error)) => Err(self.lose(open, &error)),
+            Ok(Ok(head)) => self.check_head(open, head),
+        }
+    }
+
+    fn check_head(
+        &mut self,
+        mut open: OpenAttempt,
+        head: ResponseHead,
+    ) -> Result<AnsweredAttempt, CallBreak> {
+        let terms = self.context.protocol.read_answer(&head);
+        if terms.is_misdirected || terms.is_not_run {
+            let end = match terms.is_misdirected {
+                true => AttemptEnd::Unreachable,
+                false => AttemptEnd::Refused,
+            };
+            open.guard.set_end(end);
+            self.note_attempt(&open.endpoint, end, head.status.as_str());
+            self.excluded.push(open.endpoint);
+            return Err(CallBreak::Attempt(AttemptFault::NotRun));
+        }
+        let is_ours = terms.request_id.as_deref() == Some(&*self.call.terms.request_id);
+        let is_sound = terms.is_sealed && is_ours && !head.headers.contains_key(CONTENT_ENCODING);
+        if is_sound {
+            return Ok(AnsweredAttempt { open, head });
+        }
+        open.guard.set_end(AttemptEnd::Failed);
+        self.note_attempt(&open.endpoint, AttemptEnd::Failed, "unsound head");
+        self.excluded.push(open.endpoint);
+        self.runs += 1;
+        Err(CallBreak::Attempt(AttemptFault::MayHaveRun))
+    }
+
+    /// Reads an answer until it is whole, then passes it on.
+    async fn relay_whole(&mut self, answered: AnsweredAttempt) -> Result<(), CallBreak> {
+        let AnsweredAttempt { mut open, head } = answered;
+        let mut body = BytesMut::new();
+        loop {
+            let patience = open.patience;
+            match self.unless_broken(open.exchange.read_part(), patience).await {
+                Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
+                Ok(Err(error)) => return Err(self.lose(open, &error)),
+                Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_HELD_BYTES => {
+                    body.extend_from_slice(&part);
+                },
+                Ok(Ok(Some(_))) => return Err(self.lose(open, &ExchangeError::MalformedBody)),
+                Ok(Ok(None)) => break,
+            }
+        }
+        self.runs += 1;
+        let body = body.freeze();
+        if head.status.is_server_error() {
+            open.guard.set_end(AttemptEnd::Failed);
+            self.note_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
+            if self.may_run_again() {
+                self.fallback = Some((head, body));
+                self.excluded.push(open.endpoint);
+                return Err(CallBreak::Attempt(AttemptFault::MayHaveRun));
+            }
+        } else {
+            self.note_begun(&open);
+            self.note_answered(&mut open);
+        }
+        self.write_whole(head, body).map_err(|_| CallBreak::CallerGone)
+    }
+
+    // Deciding
+
+    pub(super) fn note_run(&mut self) {
+        self.runs += 1;
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.call.route.may_repeat() && self.runs < self.call.route.attempts
+    }
+
+    fn may_go_on(&self, fault: AttemptFault) -> bool {
+        if self.sends >= MAX_SENDS || self.now() >= self.call.deadline {
+            return false;
+        }
+        match fault {
+            AttemptFault::NotRun => self.runs == 0 || self.may_run_again(),
+            AttemptFault::MayHaveRun => self.may_run_again(),
+        }
+    }
+
+    fn end_late(&self) -> CallEnd {
+        if self.has_begun {
+            return CallEnd::Cut;
+        }
+        CallEnd::Fault(if self.has_run() { CallFault::LateSent } else { CallFault::LateUnsent })
+    }
+
+    fn end_failed(&self, refusal: Option<CallFault>) -> CallEnd {
+        if self.has_begun {
+            return CallEnd::Cut;
+        }
+        if self.has_run() {
+            return CallEnd::Fault(CallFault::Lost);
+        }
+        let full = CallFault::Refused {
+            reason: "no endpoint took it",
+            retry_after: Duration::from_millis(500),
+        };
+        CallEnd::Fault(refusal.unwrap_or(full))
+    }
+
+    fn has_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Returns how long an endpoint may be silent before another one is tried.
+    fn patience(&self, expected: Duration) -> Option<Duration> {
+        if !self.may_run_again() || self.runs + 1 >= self.call.route.attempts {
+            return None;
+        }
+        Some(self.call.route.target_latency.max(expected * 2) * 2 + MIN_PATIENCE)
+    }
+
+    // Failing
+
+    /// Ends an attempt that was stopped from this side.
+    pub(super) fn stop_attempt(
+        &mut self,
+        mut guard: AttemptGuard,
+        endpoint: &EndpointId,
+        reason: WaitBreak,
+    ) -> CallBreak {
+        self.runs += 1;
+        match reason {
+            WaitBreak::CallerGone => CallBreak::CallerGone,
+            WaitBreak::Deadline => {
+                guard.set_end(AttemptEnd::Silent);
+                self.note_attempt(endpoint, AttemptEnd::Silent, "deadline");
+                CallBreak::Deadline
+            },
+            WaitBreak::Silence => {
+                guard.set_end(AttemptEnd::Silent);
+                self.note_attempt(endpoint, AttemptEnd::Silent, "silence");
+                self.excluded.push(Arc::clone(endpoint));
+                CallBreak::Attempt(AttemptFault::MayHaveRun)
+            },
+        }
+    }
+
+    /// Ends an attempt whose connection broke after the request was sent.
+    pub(super) fn lose(&mut self, mut open: OpenAttempt, error: &ExchangeError) -> CallBreak {
+        open.guard.set_end(AttemptEnd::Broken);
+        self.runs += 1;
+        self.context.control.tell(ControlCommand::Crashed {
+            fingerprint: self.call.fingerprint,
+            endpoint: Arc::clone(&open.endpoint),
+        });
+        self.fail(open.guard, open.endpoint, error, AttemptFault::MayHaveRun)
+    }
+
+    fn fail(
+        &mut self,
+        guard: AttemptGuard,
+        endpoint: EndpointId,
+        error: &ExchangeError,
+        fault: AttemptFault,
+    ) -> CallBreak {
+        drop(guard);
+        self.note_attempt(&endpoint, AttemptEnd::Broken, &error.to_string());
+        self.excluded.push(endpoint);
+        CallBreak::Attempt(fault)
+    }
+
+    // Answering
+
+    async fn tell_caller(&mut self, end: CallEnd) -> CallEnd {
+        let CallEnd::Fault(fault) = &end else {
+            return end;
+        };
+        let (head, body) = match self.fallback.take() {
+            Some(answer) => answer,
+            None => {
+                let (mut head, body) = fault.answer();
+                self.context.protocol.write_refusal(&mut head, &self.call.terms.request_id);
+                (head, body)
+            },
+        };
+        match self.write_whole(head, body) {
+            Ok(()) => end,
+            Err(_) => CallEnd::CallerGone,
+        }
+    }
+
+    fn write_whole(
+        &mut self,
+        mut head: ResponseHead,
+        body: Bytes,
+    ) -> Result<(), ConnectionError> {
+        hop_free(&mut head.headers);
+        self.note_stop();
+        self.connection.answer(&head, body)
+    }
+
+    /// Tells the caller to use another connection for the next request if the node stops.
+    pub(super) fn note_stop(&mut self) {
+        if self.context.shared.is_stopping() {
+            self.connection.close_after_answer();
+        }
+    }
+
+    // Noting
+
+    pub(super) fn note_answered(&mut self, open: &mut OpenAttempt) {
+        open.guard.set_end(AttemptEnd::Answered);
+        let fingerprint = self.call.fingerprint;
+        self.context.control.tell(ControlCommand::Cleared { fingerprint });
+        self.count_attempt(AttemptEnd::Answered);
+    }
+
+    /// Tells the control thread that an answer began, and how soon.
+    pub(super) fn note_begun(&mut self, open: &OpenAttempt) {
+        let after = self.now().saturating_sub(open.sent_at).as_secs_f64();
+        self.context.control.tell(ControlCommand::Writing {
+            attempt: open.guard.attempt(),
+            endpoint: Arc::clone(&open.endpoint),
+            pace: after / open.expected.as_secs_f64().max(MIN_EXPECTED.as_secs_f64()),
+        });
+        let waited = self.now().saturating_sub(self.call.arrived);
+        self.begun_after.get_or_insert(waited);
+        self.context.metrics.answer_begin.observe(waited.as_secs_f64());
+    }
+
+    fn note_attempt(&self, endpoint: &EndpointId, end: AttemptEnd, cause: &str) {
+        self.count_attempt(end);
+        warn!(
+            self.context.logger, "call: attempt failed";
+            "request" => %self.call.terms.request_id, "endpoint" => %endpoint,
+            "end" => end.name(), "cause" => cause, "sends" => self.sends,
+            "after_ms" => millis(self.now().saturating_sub(self.call.arrived))
+        );
+    }
+
+    fn count_attempt(&self, end: AttemptEnd) {
+        let labels = CallLabels { kind: self.call.route.kind.name(), outcome: end.name() };
+        self.context.metrics.attempts.get_or_create(&labels).inc();
+    }
+
+    fn record(&self, end: &CallEnd) {
+        let outcome = end.name();
+        let labels = CallLabels { kind: self.call.route.kind.name(), outcome };
+        self.context.metrics.calls.get_or_create(&labels).inc();
+        info!(
+            self.context.logger, "call: over";
+            "request" => %self.call.terms.request_id, "outcome" => outcome,
+            "executed" => self.executed(end), "route" => %self.call.route.name,
+            "account" => self.call.account.as_deref().unwrap_or_default(),
+            "prompt" => self.call.terms.size.prompt, "endpoint" => self.endpoint_name(),
+            "sends" => self.sends, "runs" => self.runs,
+            "begun_ms" => self.begun_after.map(millis),
+            "took_ms" => millis(self.now().saturating_sub(self.call.arrived)),
+            "version" => self.call.version, "knowledge_ms" => millis(self.call.knowledge_age)
+        );
+    }
+
+    fn executed(&self, end: &CallEnd) -> &'static str {
+        match end {
+            CallEnd::Answered => "yes",
+            CallEnd::Fault(fault) => fault.executed(),
+            CallEnd::Cut | CallEnd::CallerGone if self.has_run() => "unknown",
+            CallEnd::Cut | CallEnd::CallerGone => "no",
+        }
+    }
+
+    fn endpoint_name(&self) -> &str {
+        self.endpoint.as_deref().unwrap_or_default()
+    }
+
+    // Waiting
+
+    /// Waits for `work` unless the caller leaves, time runs out, or it is silent for too long.
+    pub(super) async fn unless_broken<F: Future>(
+        &mut self,
+        work: F,
+        patience: Option<Duration>,
+    ) -> Result<F::Output, WaitBreak> {
+        let left = self.call.deadline.saturating_sub(self.now());
+        let silence = async {
+            match patience {
+                Some(patience) => tokio::time::sleep(patience).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            output = work => Ok(output),
+            () = self.connection.wait_gone() => Err(WaitBreak::CallerGone),
+            () = tokio::time::sleep(left) => Err(WaitBreak::Deadline),
+            () = silence => Err(WaitBreak::Silence),
+        }
+    }
+
+    pub(super) fn now(&self) -> MonotonicTime {
+        self.context.clock.now()
+    }
+}
+
+fn urgency_of(prompt: u64) -> u8 {
+    match prompt {
+        ..=SHORT_PROMPT => 2,
+        prompt if prompt <= MEDIUM_PROMPT => 4,
+        _ => 6,
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -0,0 +1,122 @@
+//! One call, as it was admitted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::RequestHead;
+use apricotknot_core::fleet::Fingerprint;
+use apricotknot_core::routing::RouteSpec;
+use apricotknot_core::types::AccountId;
+use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::RegionId;
+use apricotknot_core::types::ServiceId;
+use bytes::Bytes;
+
+use super::CallFault;
+use super::TrafficContext;
+use super::fingerprint::fingerprint_of;
+use crate::caller::IncomingRequest;
+use crate::caller::hop_free;
+use crate::protocol::CallProtocol;
+use crate::protocol::CallTerms;
+
+/// Holds one call with its route and the account that it is made for.
+#[derive(Debug)]
+pub struct CallRecord {
+    /// What the caller says of the call.
+    pub terms: CallTerms,
+    /// Route of the call.
+    pub route: Arc<RouteSpec>,
+    /// Service that runs the call.
+    pub service: ServiceId,
+    /// Account that the call is made for, where it has one.
+    pub account: Option<AccountId>,
+    /// Regions whose endpoints may run the call; any region where `None`.
+    pub regions: Option<Vec<RegionId>>,
+    /// Head of the request, without what concerns only the caller's connection.
+    pub head: RequestHead,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Moment at which the request was read.
+    pub arrived: MonotonicTime,
+    /// Moment at which the caller is told that time ran out.
+    pub deadline: MonotonicTime,
+    /// Identifies calls that are equal.
+    pub fingerprint: Fingerprint,
+    /// Version of the configuration that the call was admitted under.
+    pub version: u64,
+    /// Age of the knowledge of that version.
+    pub knowledge_age: Duration,
+}
+
+impl CallRecord {
+    /// Admits a request that was read at `arrived`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is not admitted; it has not run.
+    pub fn admit<P: CallProtocol>(
+        context: &TrafficContext<P>,
+        request: IncomingRequest,
+        arrived: MonotonicTime,
+    ) -> Result<Self, CallFault> {
+        let IncomingRequest { mut head, body } = request;
+        let terms = context.protocol.read_call(&head).map_err(CallFault::BadTerms)?;
+        let desired = context.shared.desired().ok_or(CallFault::Unready)?;
+        let is_fresh = context.shared.is_fresh(arrived);
+        let path = head.uri.path();
+        let Some(route) = desired.routes.find(&host_of(&head), path).cloned() else {
+            return Err(if is_fresh { CallFault::NoRoute } else { CallFault::Unready });
+        };
+        let account = terms.key.as_ref().and_then(|key| desired.keys.account(key)).cloned();
+        let needs_key = !route.is_public && !desired.keys.is_empty();
+        if needs_key && !is_fresh {
+            return Err(CallFault::Unready);
+        }
+        if needs_key && account.is_none() {
+            return Err(CallFault::UnknownKey);
+        }
+        let service = route.pick_service(rand::random()).cloned().ok_or(CallFault::Refused {
+            reason: "the route has no service",
+            retry_after: Duration::from_secs(1),
+        })?;
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let fingerprint = fingerprint_of(target, account.as_deref().unwrap_or_default(), &body);
+        let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
+        let bound = account.as_ref().and_then(|account| desired.account_regions.get(account));
+        let regions = common_regions(&route.regions, bound);
+        hop_free(&mut head.headers);
+        Ok(Self {
+            terms,
+            service,
+            account,
+            regions,
+            head,
+            body,
+            arrived,
+            deadline: arrived + patience,
+            fingerprint,
+            version: desired.version,
+            knowledge_age: context.shared.age(arrived),
+            route,
+        })
+    }
+}
+
+fn host_of(head: &RequestHead) -> String {
+    let host = head.headers.get(actix_http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().trim().to_owned()
+}
+
+/// Returns the regions that both the route and the account allow; `None` where neither binds.
+fn common_regions(route: &[RegionId], account: Option<&Vec<RegionId>>) -> Option<Vec<RegionId>> {
+    match (route.is_empty(), account) {
+        (true, None) => None,
+        (true, Some(account)) => Some(account.clone()),
+        (false, None) => Some(route.to_vec()),
+        (false, Some(account)) => {
+            Some(route.iter().filter(|region| account.contains(region)).cloned().collect())
+        },
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -0,0 +1,106 @@
+//! The requests of one caller's connection, one after the other.
+
+use actix_rt::net::TcpStream;
+use slog::info;
+
+use super::CallFault;
+use super::CallRecord;
+use super::TrafficContext;
+use super::call_driver::CallDriver;
+use super::call_driver::CallEnd;
+use crate::CallLabels;
+use crate::caller::CallerConnection;
+use crate::caller::ConnectionError;
+use crate::caller::IncomingRequest;
+use crate::protocol::CallProtocol;
+
+/// Kind of calls that no route takes, in metrics.
+const NO_KIND: &str = "none";
+
+/// Serves the requests of one connection.
+pub struct CallerSession<P> {
+    context: TrafficContext<P>,
+    connection: CallerConnection,
+}
+
+impl<P: CallProtocol> CallerSession<P> {
+    /// Creates the session of a connection that was accepted.
+    pub fn new(context: TrafficContext<P>, stream: TcpStream) -> Self {
+        let connection = CallerConnection::new(stream, &context.http);
+        Self { context, connection }
+    }
+
+    /// Serves requests until the connection is closed.
+    pub async fn run(mut self) {
+        loop {
+            let limits = self.context.shared.desired().map(|desired| desired.limits);
+            let request = self.connection.read_request(&limits.unwrap_or_default()).await;
+            let is_kept = match request {
+                Ok(request) => self.serve(request).await,
+                Err(error) => {
+                    self.refuse_input(error);
+                    false
+                },
+            };
+            if !is_kept || self.connection.flush().await.is_err() {
+                break;
+            }
+        }
+        self.connection.close().await;
+    }
+
+    /// Serves one request; returns whether the connection can carry another one.
+    async fn serve(&mut self, request: IncomingRequest) -> bool {
+        self.context.metrics.open_calls.inc();
+        let end = self.drive(request).await;
+        self.context.metrics.open_calls.dec();
+        match end {
+            CallEnd::Answered | CallEnd::Fault(_) => self.connection.is_kept(),
+            CallEnd::Cut | CallEnd::CallerGone => {
+                self.connection.abort();
+                false
+            },
+        }
+    }
+
+    async fn drive(&mut self, request: IncomingRequest) -> CallEnd {
+        let arrived = self.context.clock.now();
+        match CallRecord::admit(&self.context, request, arrived) {
+            Ok(call) => CallDriver::new(&self.context, &mut self.connection, call).run().await,
+            Err(fault) => {
+                self.refuse(&fault);
+                CallEnd::Fault(fault)
+            },
+        }
+    }
+
+    /// Answers bytes that were no request, or too much of one.
+    fn refuse_input(&mut self, error: ConnectionError) {
+        let fault = match error {
+            ConnectionError::Closed | ConnectionError::Idle => return,
+            ConnectionError::HeadTimeout | ConnectionError::BodyTimeout => CallFault::TooSlow,
+            ConnectionError::HeadTooLarge => CallFault::HeadTooLarge,
+            ConnectionError::BodyTooLarge => CallFault::BodyTooLarge,
+            ConnectionError::Malformed => CallFault::Malformed,
+        };
+        self.connection.close_after_answer();
+        self.refuse(&fault);
+    }
+
+    fn refuse(&mut self, fault: &CallFault) {
+        let labels = CallLabels { kind: NO_KIND, outcome: fault.name() };
+        self.context.metrics.calls.get_or_create(&labels).inc();
+        let now = self.context.clock.now();
+        info!(
+            self.context.logger, "call: refused";
+            "outcome" => fault.name(), "cause" => %fault,
+            "knowledge_ms" => self.context.shared.age(now).as_millis()
+        );
+        if self.context.shared.is_stopping() {
+            self.connection.close_after_answer();
+        }
+        let (head, body) = fault.answer();
+        // A caller that is gone needs no refusal.
+        let _ = self.connection.answer(&head, body);
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -0,0 +1,53 @@
+//! Splits a byte stream into whole events.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// End of an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Holds one whole event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StreamEvent {
+    /// Bytes as the endpoint sent them, with the empty line that ends the event.
+    pub bytes: Bytes,
+    /// Number of the event, where it has one.
+    pub number: Option<u64>,
+}
+
+/// Joins parts of a stream and gives out whole events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buffer: BytesMut,
+}
+
+impl EventSplitter {
+    /// Adds a part of the stream.
+    pub fn push(&mut self, part: &[u8]) {
+        self.buffer.extend_from_slice(part);
+    }
+
+    /// Takes the next whole event, if there is one.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let start =
+            self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
+        let bytes = self.buffer.split_to(start + EVENT_END.len()).freeze();
+        let number = bytes.split(|byte| *byte == b'\n').find_map(read_number);
+        Some(StreamEvent { bytes, number })
+    }
+
+    /// Returns whether no part of an event is left over.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Returns the number of bytes of the event that is not whole.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+}
+
+fn read_number(line: &[u8]) -> Option<u64> {
+    let text = line.strip_prefix(b"id:")?.trim_ascii();
+    std::str::from_utf8(text).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -0,0 +1,247 @@
+//! One request to one endpoint, on a connection of its own.
+//!
+//! A connection is never used twice, so nothing that an endpoint sends late, twice or unasked can
+//! be taken for the answer to another request.
+
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use actix_http::RequestHead;
+use actix_http::RequestHeadType;
+use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
+use actix_http::StatusCode;
+use actix_http::body::BodySize;
+use actix_http::h1::ClientCodec;
+use actix_http::h1::ClientPayloadCodec;
+use actix_http::h1::Message;
+use actix_http::h1::MessageType;
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::TRANSFER_ENCODING;
+use actix_rt::net::TcpStream;
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::io::AsyncWrite;
+use tokio_util::codec::Decoder;
+use tokio_util::codec::Encoder;
+use tokio_util::io::poll_read_buf;
+
+use super::ExchangeError;
+
+/// Bytes that are read from the connection at once.
+const READ_BYTES: usize = 8 * 1_024;
+
+/// Silence after which the system asks whether the other side of a connection is still there.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+
+/// Questions without an answer after which a connection counts as broken.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// Describes a request to an endpoint.
+#[derive(Debug)]
+pub struct ExchangeOrder {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Head of the request.
+    pub head: RequestHead,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Longest time to make the connection.
+    pub connect_timeout: Duration,
+}
+
+/// Says how the end of an answer's body is found.
+enum AnswerBody {
+    /// The head has not come.
+    Waiting(ClientCodec),
+    /// There is no more of it.
+    Ended,
+    /// It has a length or comes in chunks.
+    Framed(ClientPayloadCodec),
+    /// It ends with the connection.
+    Unframed,
+}
+
+/// Sends one request and reads its answer.
+pub struct EndpointExchange {
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    body: AnswerBody,
+}
+
+// Commands.
+impl EndpointExchange {
+    /// Connects to the endpoint and begins to send the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for which [`ExchangeError::is_unsent`] holds.
+    pub async fn open(config: &ServiceConfig, order: ExchangeOrder) -> Result<Self, ExchangeError> {
+        let mut codec = ClientCodec::new(config.clone());
+        let output = encode(&mut codec, order.head, &order.body)?;
+        let connect = TcpStream::connect(order.address);
+        let stream = tokio::time::timeout(order.connect_timeout, connect)
+            .await
+            .map_err(|_| ExchangeError::ConnectTimeout(order.connect_timeout))?
+            .map_err(ExchangeError::Unreachable)?;
+        set_options(&stream).map_err(ExchangeError::Unreachable)?;
+        let input = BytesMut::with_capacity(READ_BYTES);
+        Ok(Self { stream, input, output, body: AnswerBody::Waiting(codec) })
+    }
+
+    /// Waits for the head of the answer, and sends the rest of the request meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no head came; the request may have run.
+    pub async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        poll_fn(|context| self.poll_head(context)).await
+    }
+
+    /// Waits for the next part of the answer's body; `None` once it is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the body is not whole.
+    pub async fn read_part(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        poll_fn(|context| self.poll_part(context)).await
+    }
+
+    fn poll_head(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<ResponseHead, ExchangeError>> {
+        loop {
+            if let Some(head) = self.decode_head()? {
+                return Poll::Ready(Ok(head));
+            }
+            let is_sent = self.poll_send(context);
+            match self.poll_receive(context)? {
+                Poll::Ready(true) => {},
+                Poll::Ready(false) => return Poll::Ready(Err(ExchangeError::Truncated)),
+                Poll::Pending => {
+                    // An endpoint may answer and close before it has read the whole request.
+                    let _ = is_sent?;
+                    return Poll::Pending;
+                },
+            }
+        }
+    }
+
+    fn decode_head(&mut self) -> Result<Option<ResponseHead>, ExchangeError> {
+        let AnswerBody::Waiting(codec) = &mut self.body else {
+            return Ok(None);
+        };
+        let Some(head) = codec.decode(&mut self.input).map_err(ExchangeError::Malformed)? else {
+            return Ok(None);
+        };
+        if head.status.is_informational() {
+            return Ok(None);
+        }
+        let body = std::mem::replace(&mut self.body, AnswerBody::Ended);
+        if let AnswerBody::Waiting(codec) = body {
+            self.body = body_of(codec, &head);
+        }
+        Ok(Some(head))
+    }
+
+    fn poll_part(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, ExchangeError>> {
+        loop {
+            match &mut self.body {
+                AnswerBody::Waiting(_) | AnswerBody::Ended => return Poll::Ready(Ok(None)),
+                AnswerBody::Unframed if !self.input.is_empty() => {
+                    return Poll::Ready(Ok(Some(self.input.split().freeze())));
+                },
+                AnswerBody::Unframed => {},
+                AnswerBody::Framed(codec) => {
+                    let item = codec.decode(&mut self.input);
+                    match item.map_err(|_| ExchangeError::MalformedBody)? {
+                        Some(Some(part)) => return Poll::Ready(Ok(Some(part))),
+                        Some(None) => {
+                            self.body = AnswerBody::Ended;
+                            return Poll::Ready(Ok(None));
+                        },
+                        None => {},
+                    }
+                },
+            }
+            let _ = self.poll_send(context);
+            if ready!(self.poll_receive(context))? {
+                continue;
+            }
+            if matches!(self.body, AnswerBody::Unframed) {
+                self.body = AnswerBody::Ended;
+                return Poll::Ready(Ok(None));
+            }
+            return Poll::Ready(Err(ExchangeError::Truncated));
+        }
+    }
+
+    fn poll_send(&mut self, context: &mut Context<'_>) -> Result<bool, ExchangeError> {
+        while !self.output.is_empty() {
+            match Pin::new(&mut self.stream).poll_write(context, &self.output) {
+                Poll::Pending => return Ok(false),
+                Poll::Ready(Ok(count)) => self.output.advance(count),
+                Poll::Ready(Err(error)) => return Err(ExchangeError::Broken(error)),
+            }
+        }
+        Ok(true)
+    }
+
+    /// Reads more input; returns whether there was any before the connection ended.
+    fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<Result<bool, ExchangeError>> {
+        self.input.reserve(READ_BYTES);
+        let read = poll_read_buf(Pin::new(&mut self.stream), context, &mut self.input);
+        read.map(|result| result.map(|count| count > 0).map_err(ExchangeError::Broken))
+    }
+}
+
+fn encode(
+    codec: &mut ClientCodec,
+    head: RequestHead,
+    body: &Bytes,
+) -> Result<BytesMut, ExchangeError> {
+    let size = if body.is_empty() {
+        BodySize::None
+    } else {
+        BodySize::Sized(u64::try_from(body.len()).unwrap_or(u64::MAX))
+    };
+    let mut output = BytesMut::new();
+    let head = RequestHeadType::Owned(head);
+    codec.encode(Message::Item((head, size)), &mut output).map_err(ExchangeError::Encoding)?;
+    output.extend_from_slice(body);
+    Ok(output)
+}
+
+fn body_of(codec: ClientCodec, head: &ResponseHead) -> AnswerBody {
+    if codec.message_type() != MessageType::None {
+        return AnswerBody::Framed(codec.into_payload_codec());
+    }
+    // The library takes an answer without a length for an empty one.
+    let is_framed =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if is_framed || has_no_body { AnswerBody::Ended } else { AnswerBody::Unframed }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_TIME)
+        .with_retries(KEEPALIVE_RETRIES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
@@ -0,0 +1,40 @@
+//! Failures of an exchange with an endpoint.
+
+use std::io;
+use std::time::Duration;
+
+use actix_http::error::ParseError;
+use thiserror::Error;
+
+/// Reports why an exchange with an endpoint did not end well.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// No connection could be made, so nothing was sent.
+    #[error("cannot connect: {0}; nothing was sent")]
+    Unreachable(io::Error),
+    /// No connection was made in time, so nothing was sent.
+    #[error("no connection within {0:?}; nothing was sent")]
+    ConnectTimeout(Duration),
+    /// The request could not be written in the protocol, so nothing was sent.
+    #[error("cannot encode the request: {0}; nothing was sent")]
+    Encoding(io::Error),
+    /// The connection broke.
+    #[error("the connection broke: {0}")]
+    Broken(io::Error),
+    /// The connection ended before the answer was whole.
+    #[error("the connection ended before the answer was whole")]
+    Truncated,
+    /// The endpoint sent bytes that are no answer.
+    #[error("the answer does not follow the protocol: {0}")]
+    Malformed(ParseError),
+    /// The body of the answer does not follow the protocol.
+    #[error("the body of the answer does not follow the protocol")]
+    MalformedBody,
+}
+
+impl ExchangeError {
+    /// Returns whether no byte of the request has left the node.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unreachable(_) | Self::ConnectTimeout(_) | Self::Encoding(_))
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -0,0 +1,11 @@
+//! Connections to endpoints.
+
+mod event_splitter;
+mod exchange;
+mod exchange_error;
+
+pub use event_splitter::EventSplitter;
+pub use event_splitter::StreamEvent;
+pub use exchange::EndpointExchange;
+pub use exchange::ExchangeOrder;
+pub use exchange_error::ExchangeError;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -0,0 +1,182 @@
+//! A running gateway node.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use actix_http::KeepAlive;
+use actix_http::ServiceConfigBuilder;
+use actix_rt::net::TcpStream;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+use crate::GatewayMetrics;
+use crate::GatewaySettings;
+use crate::clock::BootClock;
+use crate::control::ControlCommand;
+use crate::control::ControlParts;
+use crate::control::SharedState;
+use crate::control::StateLimits;
+use crate::control::start_control;
+use crate::driver::CallerSession;
+use crate::driver::TrafficContext;
+use crate::operations::OperationsSession;
+use crate::protocol::CallProtocol;
+use crate::protocol::RecordTranslator;
+use crate::store::MetadataStore;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for which a node that stops still takes requests, until the balancer has noticed.
+const UNREADY_TIME: Duration = Duration::from_millis(3_200);
+
+/// Time between two looks at whether all requests are answered.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Time left of a planned stop for the process to end.
+const STOP_RESERVE: Duration = Duration::from_millis(300);
+
+/// A gateway node that serves until it is told to stop.
+pub struct GatewayNode<P> {
+    context: TrafficContext<P>,
+    stop_time: Duration,
+}
+
+impl<P: CallProtocol> GatewayNode<P> {
+    /// Starts the control thread and listens for callers; must be called on an actix system.
+    ///
+    /// `store` is called on the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address cannot be used or no thread can be started.
+    pub async fn start<S, T, F>(
+        settings: GatewaySettings,
+        protocol: P,
+        translator: T,
+        store: F,
+        logger: Logger,
+    ) -> io::Result<Self>
+    where
+        S: MetadataStore,
+        T: RecordTranslator + Send,
+        F: FnOnce(SocketAddr) -> S + Send + 'static,
+    {
+        let shared = Arc::new(SharedState::new(settings.knowledge_time));
+        let callers = listen(settings.callers)?;
+        let operations = listen(settings.operations)?;
+        let incarnation = incarnation_now();
+        info!(
+            logger, "node: started";
+            "incarnation" => incarnation, "data_centre" => %settings.data_centre,
+            "callers" => %settings.callers, "operations" => %settings.operations
+        );
+        let stop_time = settings.stop_time;
+        let parts = {
+            let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            move || ControlParts {
+                node: settings.node,
+                incarnation,
+                news_address: settings.news,
+                regions: settings.regions,
+                limits: StateLimits { retries: settings.retries },
+                store: store(settings.store),
+                translator,
+                shared,
+                logger,
+            }
+        };
+        let (control, _) = start_control(parts)?;
+        let context = TrafficContext {
+            protocol,
+            http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
+            shared,
+            control,
+            clock: BootClock,
+            metrics: Arc::new(GatewayMetrics::new()),
+            logger,
+        };
+        let node = Self { context, stop_time };
+        node.serve_callers(callers);
+        node.serve_operations(operations);
+        Ok(node)
+    }
+
+    /// Stops to take requests, and waits until those that were taken are answered.
+    ///
+    /// Returns the number of requests that were cut.
+    pub async fn stop(self) -> i64 {
+        let end = tokio::time::Instant::now() + self.stop_time.saturating_sub(STOP_RESERVE);
+        info!(self.context.logger, "node: stopping"; "open" => self.open_calls());
+        self.context.shared.stop();
+        tokio::time::sleep(UNREADY_TIME.min(self.stop_time / 2)).await;
+        while self.open_calls() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+        let cut = self.open_calls();
+        info!(self.context.logger, "node: stopped"; "cut" => cut);
+        self.context.control.tell(ControlCommand::Stop);
+        cut
+    }
+
+    fn serve_callers(&self, listener: TcpListener) {
+        let context = self.context.clone();
+        accept_all(listener, context.logger.clone(), move |stream| {
+            CallerSession::new(context.clone(), stream).run()
+        });
+    }
+
+    fn serve_operations(&self, listener: TcpListener) {
+        let context = self.context.clone();
+        accept_all(listener, context.logger.clone(), move |stream| {
+            OperationsSession::new(context.clone(), stream).run()
+        });
+    }
+
+    fn open_calls(&self) -> i64 {
+        self.context.metrics.open_calls.get()
+    }
+}
+
+/// Serves each connection in a task of its own.
+fn accept_all<F, Fut>(listener: TcpListener, logger: Logger, serve: F)
+where
+    F: Fn(TcpStream) -> Fut + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    actix_rt::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => _ = actix_rt::spawn(serve(stream)),
+                Err(error) => {
+                    warn!(logger, "node: connection not accepted"; "error" => %error);
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                },
+            }
+        }
+    });
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Returns the incarnation of a node that starts now: milliseconds since the Unix epoch.
+fn incarnation_now() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(1)
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/gateway_settings.rs
@@ -0,0 +1,35 @@
+//! Settings of a gateway node.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use apricotknot_core::fleet::RetryShare;
+use apricotknot_core::types::DataCentreId;
+use apricotknot_core::types::NodeId;
+use apricotknot_core::types::RegionId;
+
+/// Holds all that a gateway node is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Names the node.
+    pub node: NodeId,
+    /// Data centre that the node runs in.
+    pub data_centre: DataCentreId,
+    /// Address on which callers connect.
+    pub callers: SocketAddr,
+    /// Address on which the balancer and operators ask how the node is.
+    pub operations: SocketAddr,
+    /// Address on which the node takes news of other nodes.
+    pub news: SocketAddr,
+    /// Address of the key-value service.
+    pub store: SocketAddr,
+    /// Region of each data centre.
+    pub regions: BTreeMap<DataCentreId, RegionId>,
+    /// Longest time for which the knowledge of keys serves without being renewed.
+    pub knowledge_time: Duration,
+    /// Time that a planned stop may take.
+    pub stop_time: Duration,
+    /// Repeats that all nodes together may send.
+    pub retries: RetryShare,
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! The gateway of apricotknot: routes opaque requests to services by host and path.
+//!
+//! A node takes requests of callers, decides which endpoint runs each ([`control`]), and passes the
+//! answers on ([`driver`]). What differs between platforms stands behind the traits of [`protocol`]
+//! and [`store`]. Start reading with [`GatewayNode`].
+
+pub mod caller;
+pub mod clock;
+pub mod control;
+pub mod driver;
+pub mod endpoint;
+pub mod peers;
+pub mod protocol;
+pub mod store;
+
+mod gateway_node;
+mod gateway_settings;
+mod metrics;
+mod operations;
+
+pub use gateway_node::GatewayNode;
+pub use gateway_settings::GatewaySettings;
+pub use metrics::CallLabels;
+pub use metrics::GatewayMetrics;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -0,0 +1,75 @@
+//! Metrics of a gateway node.
+
+use std::sync::atomic::AtomicI64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Smallest bucket of time histograms, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.005;
+
+/// Ratio between neighbouring buckets.
+const BUCKET_FACTOR: f64 = 2.0;
+
+/// Number of buckets of time histograms.
+const BUCKET_COUNT: u16 = 13;
+
+/// Labels of a call that ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct CallLabels {
+    /// Kind of the call.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Holds all metrics of a node; may be shared between threads.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Calls that ended, by kind and outcome.
+    pub calls: Family<CallLabels, Counter>,
+    /// Attempts at endpoints that ended, by kind of call and outcome.
+    pub attempts: Family<CallLabels, Counter>,
+    /// Time from arrival to the begin of the answer, in seconds.
+    pub answer_begin: Histogram,
+    /// Calls that are open.
+    pub open_calls: Gauge<i64, AtomicI64>,
+}
+
+impl GatewayMetrics {
+    /// Creates metrics that are all zero.
+    pub fn new() -> Self {
+        let calls = Family::default();
+        let attempts = Family::default();
+        let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKET_COUNT);
+        let answer_begin = Histogram::new(buckets);
+        let open_calls = Gauge::default();
+        let mut registry = Registry::with_prefix("apricotknot_gateway");
+        registry.register("calls", "Calls that ended", calls.clone());
+        registry.register("attempts", "Attempts that ended", attempts.clone());
+        registry.register("answer_begin_seconds", "Time to the answer", answer_begin.clone());
+        registry.register("open_calls", "Calls that are open", open_calls.clone());
+        Self { registry, calls, attempts, answer_begin, open_calls }
+    }
+
+    /// Renders all metrics in the OpenMetrics text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a `String` cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/operations.rs
@@ -0,0 +1,51 @@
+//! Answers to the balancer and to operators.
+
+use actix_http::ResponseHead;
+use actix_http::StatusCode;
+use actix_rt::net::TcpStream;
+use apricotknot_core::routing::InputLimits;
+use bytes::Bytes;
+
+use crate::caller::CallerConnection;
+use crate::driver::TrafficContext;
+use crate::protocol::CallProtocol;
+
+/// Answers questions of the balancer and of operators.
+pub(crate) struct OperationsSession<P> {
+    context: TrafficContext<P>,
+    connection: CallerConnection,
+}
+
+impl<P: CallProtocol> OperationsSession<P> {
+    /// Creates the session of a connection that was accepted.
+    pub(crate) fn new(context: TrafficContext<P>, stream: TcpStream) -> Self {
+        let connection = CallerConnection::new(stream, &context.http);
+        Self { context, connection }
+    }
+
+    /// Answers until the connection is closed.
+    pub(crate) async fn run(mut self) {
+        while let Ok(request) = self.connection.read_request(&InputLimits::default()).await {
+            let (status, body) = self.answer(request.head.uri.path());
+            let head = ResponseHead::new(status);
+            if self.connection.answer(&head, body).is_err()
+                || self.connection.flush().await.is_err()
+                || !self.connection.is_kept()
+            {
+                break;
+            }
+        }
+        self.connection.close().await;
+    }
+
+    fn answer(&self, path: &str) -> (StatusCode, Bytes) {
+        match path {
+            "/readyz" if self.context.shared.is_ready(self.context.clock.now()) => {
+                (StatusCode::OK, Bytes::from_static(b"ready\n"))
+            },
+            "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+            "/metrics" => (StatusCode::OK, self.context.metrics.render().into()),
+            _ => (StatusCode::NOT_FOUND, Bytes::new()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/peers/mod.rs
@@ -0,0 +1,10 @@
+//! What nodes tell one another, as signed datagrams.
+//!
+//! News is a state, not a call: a lost datagram is made good by the next one, and nobody waits for
+//! an answer. Remote calls would add a connection and an answer for each pair of nodes.
+
+mod news_error;
+mod news_seal;
+
+pub use news_error::NewsError;
+pub use news_seal::NewsSeal;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/peers/news_seal.rs
@@ -0,0 +1,53 @@
+//! Writes and reads signed news.
+
+use apricotknot_core::fleet::LoadNews;
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use sha2::Sha256;
+
+use super::NewsError;
+
+/// Length of a signature, in bytes.
+const TAG_BYTES: usize = 16;
+
+/// Signs news with the secret that the nodes share, and checks the signatures of others.
+#[derive(Clone)]
+pub struct NewsSeal {
+    mac: Hmac<Sha256>,
+}
+
+impl NewsSeal {
+    /// Creates the seal of a secret of any length.
+    pub fn new(secret: &[u8]) -> Option<Self> {
+        Hmac::new_from_slice(secret).ok().map(|mac| Self { mac })
+    }
+
+    /// Writes signed news.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the news cannot be encoded.
+    pub fn write(&self, news: &LoadNews) -> Result<Vec<u8>, NewsError> {
+        let mut bytes = postcard::to_allocvec(news).map_err(|_| NewsError::Malformed)?;
+        let mut mac = self.mac.clone();
+        mac.update(&bytes);
+        bytes.extend_from_slice(&mac.finalize().into_bytes()[..TAG_BYTES]);
+        Ok(bytes)
+    }
+
+    /// Reads signed news.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram is not taken in.
+    pub fn read(&self, datagram: &[u8]) -> Result<LoadNews, NewsError> {
+        let length =
+            datagram.len().checked_sub(TAG_BYTES).ok_or(NewsError::Short(datagram.len()))?;
+        let (bytes, tag) = datagram.split_at(length);
+        let mut mac = self.mac.clone();
+        mac.update(bytes);
+        mac.verify_truncated_left(tag).map_err(|_| NewsError::Forged)?;
+        postcard::from_bytes(bytes).map_err(|_| NewsError::Malformed)
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/src/store/mod.rs
@@ -0,0 +1,18 @@
+//! The platform's key-value service, as the product uses it.
+
+mod entry;
+mod error;
+mod metadata_store;
+
+pub use entry::ExpectedRevision;
+pub use entry::KeyRange;
+pub use entry::LeaseId;
+pub use entry::StoreEntry;
+pub use entry::SwapOutcome;
+pub use entry::SwapRequest;
+pub use entry::WatchBatch;
+pub use entry::WatchEvent;
+pub use error::StoreError;
+pub use error::StoreErrorKind;
+pub use error::WriteCertainty;
+pub use metadata_store::MetadataStore;
--- /dev/null
+++ b/crates/apricotknot/src/gateway.rs
@@ -0,0 +1,92 @@
+//! The command that runs a gateway node on the users' platform.
+
+use std::io::stdout;
+use std::path::Path;
+use std::process::ExitCode;
+
+use apricotknot::settings::GatewayFile;
+use apricotknot::telemetry::build_logger;
+use apricotknot_gateway::GatewayNode;
+use apricotknot_platform::headers::HeaderProtocol;
+use apricotknot_platform::records::StoredRecords;
+use apricotknot_platform::store::PlatformStore;
+use slog::Logger;
+use slog::error;
+use slog::info;
+use slog::warn;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::EXIT_NODE;
+use crate::EXIT_SETTINGS;
+
+/// Checks a gateway's settings file.
+pub(crate) fn check(file: &Path) -> ExitCode {
+    match GatewayFile::read(file) {
+        Ok(settings) => {
+            println!("{}: settings of node {} are valid", file.display(), settings.identity.name);
+            ExitCode::SUCCESS
+        },
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(EXIT_SETTINGS)
+        },
+    }
+}
+
+/// Runs a gateway node until SIGTERM.
+pub(crate) fn run(file: &Path) -> ExitCode {
+    let settings = match GatewayFile::read(file) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        },
+    };
+    let logger = build_logger(&settings.log, &settings.identity, stdout());
+    actix_rt::System::new().block_on(serve(settings, file, logger))
+}
+
+async fn serve(settings: GatewayFile, file: &Path, logger: Logger) -> ExitCode {
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::hangup()));
+    let (Ok(mut terminate), Ok(mut hangup)) = signals else {
+        error!(logger, "node: signals cannot be received");
+        return ExitCode::from(EXIT_NODE);
+    };
+    let started = GatewayNode::start(
+        settings.gateway.clone(),
+        HeaderProtocol,
+        StoredRecords,
+        PlatformStore::new,
+        logger.clone(),
+    );
+    let node = match started.await {
+        Ok(node) => node,
+        Err(error) => {
+            error!(logger, "node: cannot start"; "error" => %error);
+            return ExitCode::from(EXIT_NODE);
+        },
+    };
+    wait_terminate(&mut terminate, &mut hangup, || reload(&settings, file, &logger)).await;
+    let cut = node.stop().await;
+    if cut > 0 { ExitCode::from(EXIT_NODE) } else { ExitCode::SUCCESS }
+}
+
+async fn wait_terminate<F: Fn()>(terminate: &mut Signal, hangup: &mut Signal, reload: F) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = hangup.recv() => reload(),
+        }
+    }
+}
+
+/// Reads the settings file again; what has changed takes effect at the next start.
+fn reload(in_force: &GatewayFile, file: &Path, logger: &Logger) {
+    match GatewayFile::read(file) {
+        Ok(settings) if settings == *in_force => info!(logger, "node: settings unchanged"),
+        Ok(_) => warn!(logger, "node: settings changed"; "in_force" => "at the next start"),
+        Err(error) => warn!(logger, "node: settings not read"; "error" => %error),
+    }
+}
--- a/crates/apricotknot/src/main.rs
+++ b/crates/apricotknot/src/main.rs
@@ -1,5 +1,8 @@
 //! The `apricotknot` program: runs one node, or checks its settings file.
 
+mod gateway;
+
+use std::io::stderr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -16,13 +19,15 @@
 use tokio::signal::unix::signal;
 
 /// Exit code of a settings file that is wrong.
-const EXIT_SETTINGS: u8 = 2;
+pub(crate) const EXIT_SETTINGS: u8 = 2;
 
 /// Exit code of a node that cannot run.
-const EXIT_NODE: u8 = 1;
+pub(crate) const EXIT_NODE: u8 = 1;
 
 fn main() -> ExitCode {
     match build_command().get_matches().subcommand() {
+        Some(("gateway", matches)) => gateway::run(&file_of(matches)),
+        Some(("check-gateway", matches)) => gateway::check(&file_of(matches)),
         Some(("check", matches)) => check(&file_of(matches)),
         Some(("run", matches)) => run(&file_of(matches)),
         _ => ExitCode::from(EXIT_SETTINGS),
@@ -42,7 +47,13 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(Command::new("run").about("Runs a node until SIGTERM").arg(file.clone()))
-        .subcommand(Command::new("check").about("Checks a settings file").arg(file))
+        .subcommand(Command::new("check").about("Checks a node's settings file").arg(file.clone()))
+        .subcommand(
+            Command::new("gateway").about("Runs a gateway node until SIGTERM").arg(file.clone()),
+        )
+        .subcommand(
+            Command::new("check-gateway").about("Checks a gateway's settings file").arg(file),
+        )
 }
 
 fn file_of(matches: &ArgMatches) -> PathBuf {
@@ -70,7 +81,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         },
     };
-    let logger = build_logger(&settings.log, &settings.identity);
+    let logger = build_logger(&settings.log, &settings.identity, stderr());
     let node = match NodeProcess::start(&settings, logger) {
         Ok(node) => node,
         Err(error) => {
--- /dev/null
+++ b/crates/apricotknot/src/settings/gateway.rs
@@ -0,0 +1,109 @@
+//! The settings of one gateway node.
+
+use std::path::Path;
+use std::time::Duration;
+
+use apricotknot_core::fleet::RetryShare;
+use apricotknot_gateway::GatewaySettings;
+use ini::Ini;
+
+use super::LogSettings;
+use super::NodeIdentity;
+use super::SettingsError;
+use super::SettingsErrorKind;
+use super::node_settings::check_sections;
+use super::node_settings::read_identity;
+use super::node_settings::read_log;
+use super::section::SectionReader;
+
+/// Sections of a gateway's settings file.
+const SECTIONS: [&str; 6] = ["node", "gateway", "store", "retries", "data_centres", "log"];
+
+/// Part of the time in which a key must be out of use that is left for requests under way.
+const REVOKE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Holds everything that a gateway node learns from its file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayFile {
+    /// Which node this is.
+    pub identity: NodeIdentity,
+    /// How it serves.
+    pub gateway: GatewaySettings,
+    /// Log.
+    pub log: LogSettings,
+}
+
+impl GatewayFile {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found, with its section, key, value and what is allowed.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            SettingsError::new(SettingsErrorKind::Unreadable, path).given(error.to_string())
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks `text` as the content of the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found, with its section, key, value and what is allowed.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(text).map_err(|error| {
+            SettingsError::new(SettingsErrorKind::Syntax, path).given(error.to_string())
+        })?;
+        check_sections(path, &ini, &SECTIONS)?;
+        let identity = read_identity(SectionReader::new(path, &ini, "node"))?;
+        let log = read_log(SectionReader::new(path, &ini, "log"))?;
+        let gateway = read_gateway(path, &ini, &identity)?;
+        Ok(Self { identity, gateway, log })
+    }
+}
+
+fn read_gateway(
+    path: &Path,
+    ini: &Ini,
+    identity: &NodeIdentity,
+) -> Result<GatewaySettings, SettingsError> {
+    let mut store = SectionReader::new(path, ini, "store");
+    let store_address = store.address("address")?;
+    store.finish()?;
+    let regions = SectionReader::new(path, ini, "data_centres").names()?;
+    let mut section = SectionReader::new(path, ini, "gateway");
+    let revoke_time = section.milliseconds("revoke_ms", 5_000, 1_000..=600_000)?;
+    let gateway = GatewaySettings {
+        node: identity.name.clone(),
+        data_centre: identity.data_centre.clone(),
+        callers: section.address("callers")?,
+        operations: section.address("operations")?,
+        news: section.address("news")?,
+        store: store_address,
+        regions: regions.into_iter().collect(),
+        knowledge_time: revoke_time.saturating_sub(REVOKE_MARGIN),
+        stop_time: seconds(&mut section, "stop_s", 8.0)?,
+        retries: read_retries(SectionReader::new(path, ini, "retries"))?,
+    };
+    section.finish()?;
+    Ok(gateway)
+}
+
+fn read_retries(mut section: SectionReader<'_>) -> Result<RetryShare, SettingsError> {
+    let retries = RetryShare {
+        ratio: section.number("ratio", 0.2, 0.0..=10.0)?,
+        slack: section.number("slack", 100.0, 0.0..=1e6)?,
+        window: seconds(&mut section, "window_s", 10.0)?,
+    };
+    section.finish()?;
+    Ok(retries)
+}
+
+fn seconds(
+    section: &mut SectionReader<'_>,
+    key: &'static str,
+    default: f64,
+) -> Result<Duration, SettingsError> {
+    section.number(key, default, 0.5..=3_600.0).map(Duration::from_secs_f64)
+}
--- a/crates/apricotknot/src/settings/mod.rs
+++ b/crates/apricotknot/src/settings/mod.rs
@@ -1,12 +1,14 @@
 //! Settings of one node, read from an INI file and checked before anything starts.
 
 mod error;
+mod gateway;
 mod node_settings;
 mod section;
 mod text_types;
 
 pub use error::SettingsError;
 pub use error::SettingsErrorKind;
+pub use gateway::GatewayFile;
 pub use node_settings::CallerSettings;
 pub use node_settings::LogSettings;
 pub use node_settings::NodeIdentity;
--- a/crates/apricotknot/src/settings/node_settings.rs
+++ b/crates/apricotknot/src/settings/node_settings.rs
@@ -145,7 +145,7 @@
         let ini = Ini::load_from_str(text).map_err(|error| {
             SettingsError::new(SettingsErrorKind::Syntax, path).given(error.to_string())
         })?;
-        check_sections(path, &ini)?;
+        check_sections(path, &ini, &SECTIONS)?;
         Ok(Self {
             identity: read_identity(SectionReader::new(path, &ini, "node"))?,
             callers: read_callers(SectionReader::new(path, &ini, "callers"))?,
@@ -158,18 +158,23 @@
     }
 }
 
-fn check_sections(path: &Path, ini: &Ini) -> Result<(), SettingsError> {
-    let unknown = ini.sections().flatten().find(|name| !SECTIONS.contains(name));
+/// Refuses sections that are none of `known`.
+pub(super) fn check_sections(
+    path: &Path,
+    ini: &Ini,
+    known: &[&'static str],
+) -> Result<(), SettingsError> {
+    let unknown = ini.sections().flatten().find(|name| !known.contains(name));
     let Some(name) = unknown else {
         return Ok(());
     };
     Err(SettingsError::new(SettingsErrorKind::UnknownSection, path)
         .section(name)
-        .allowed(SECTIONS.join(", "))
-        .hint(closest_name(name, SECTIONS.into_iter())))
+        .allowed(known.join(", "))
+        .hint(closest_name(name, known.iter().copied())))
 }
 
-fn read_identity(mut section: SectionReader<'_>) -> Result<NodeIdentity, SettingsError> {
+pub(super) fn read_identity(mut section: SectionReader<'_>) -> Result<NodeIdentity, SettingsError> {
     let identity =
         NodeIdentity { name: section.name("name")?, data_centre: section.name("data_centre")? };
     section.finish()?;
@@ -238,7 +243,7 @@
     Ok(shutdown)
 }
 
-fn read_log(mut section: SectionReader<'_>) -> Result<LogSettings, SettingsError> {
+pub(super) fn read_log(mut section: SectionReader<'_>) -> Result<LogSettings, SettingsError> {
     let log = LogSettings {
         format: section.parsed("format", LogFormat::Text, "text, json")?,
         level: section.parsed("level", LogLevel::Info, "error, warning, info, debug")?,
--- a/crates/apricotknot/src/settings/section.rs
+++ b/crates/apricotknot/src/settings/section.rs
@@ -164,6 +164,21 @@
             .collect()
     }
 
+    /// Reads all keys of a section whose keys are names.
+    pub(super) fn names(self) -> Result<Vec<(Arc<str>, Arc<str>)>, SettingsError> {
+        let allowed = allowed_names();
+        let entries = self.properties.into_iter().flat_map(Properties::iter);
+        entries
+            .map(|(key, value)| {
+                let value = value.trim();
+                if is_valid_name(key) && is_valid_name(value) {
+                    return Ok((key.into(), value.into()));
+                }
+                Err(self.error(SettingsErrorKind::Invalid, key, value, &allowed))
+            })
+            .collect()
+    }
+
     /// Refuses keys that no call has asked for.
     pub(super) fn finish(self) -> Result<(), SettingsError> {
         let Some(properties) = self.properties else {
--- a/crates/apricotknot/src/store/mod.rs
+++ b/crates/apricotknot/src/store/mod.rs
@@ -2,28 +2,27 @@
 
 mod budget;
 mod discipline;
-mod entry;
-mod error;
 mod etcd;
 mod feed;
 mod gateway;
 mod key_value;
 mod watch;
 
+pub use apricotknot_gateway::store::ExpectedRevision;
+pub use apricotknot_gateway::store::KeyRange;
+pub use apricotknot_gateway::store::LeaseId;
+pub use apricotknot_gateway::store::StoreEntry;
+pub use apricotknot_gateway::store::SwapOutcome;
+pub use apricotknot_gateway::store::SwapRequest;
+pub use apricotknot_gateway::store::WatchBatch;
+pub use apricotknot_gateway::store::WatchEvent;
+pub use apricotknot_gateway::store::StoreError;
+pub use apricotknot_gateway::store::StoreErrorKind;
+pub use apricotknot_gateway::store::WriteCertainty;
+
 pub use budget::CallBudget;
 pub use discipline::DisciplineLimits;
 pub use discipline::StoreDiscipline;
-pub use entry::ExpectedRevision;
-pub use entry::KeyRange;
-pub use entry::LeaseId;
-pub use entry::StoreEntry;
-pub use entry::SwapOutcome;
-pub use entry::SwapRequest;
-pub use entry::WatchBatch;
-pub use entry::WatchEvent;
-pub use error::StoreError;
-pub use error::StoreErrorKind;
-pub use error::WriteCertainty;
 pub use etcd::EtcdStore;
 pub use feed::FeedEvent;
 pub use feed::FeedTiming;
--- a/crates/apricotknot/src/telemetry/log.rs
+++ b/crates/apricotknot/src/telemetry/log.rs
@@ -1,6 +1,6 @@
 //! Set-up of the log.
 
-use std::io::stderr;
+use std::io::Write;
 use std::sync::Mutex;
 
 use slog::Drain;
@@ -16,18 +16,24 @@
 /// Records that may wait to be written.
 const QUEUED_RECORDS: usize = 4_096;
 
-/// Creates the logger of a node; every record names the node.
-pub fn build_logger(settings: &LogSettings, identity: &NodeIdentity) -> Logger {
+/// Creates the logger of a node that writes to `output`; every record names the node.
+///
+/// Records that come faster than `output` takes them are dropped and counted; nothing blocks.
+pub fn build_logger<W: Write + Send + 'static>(
+    settings: &LogSettings,
+    identity: &NodeIdentity,
+    output: W,
+) -> Logger {
     let node = identity.name.to_string();
     let level = slog_level(settings.level);
     match settings.format {
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(stderr())).fuse();
+            let drain = Mutex::new(slog_json::Json::default(output)).fuse();
             let queue = slog_async::Async::new(drain).chan_size(QUEUED_RECORDS).build().fuse();
             Logger::root(queue.filter_level(level).fuse(), o!("node" => node))
         },
         LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(output);
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             let queue = slog_async::Async::new(drain).chan_size(QUEUED_RECORDS).build().fuse();
             Logger::root(queue.filter_level(level).fuse(), o!("node" => node))
