placement: long prompts are read in parts by several endpoints

Cause: an archive of 133,000 tokens reads 1.9 s alone, one of 232,000 and more fits no engine. Ruled out: engines of their own for archives (a burst needs 20 of 23).

--- a/crates/apricotknot-core/src/fleet/fleet_board.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -11,10 +11,13 @@
 use super::EndpointEntry;
 use super::HealthRecord;
 use super::LoadNews;
+use super::PlacementAsk;
+use super::PlacementPlan;
 use super::WaitNews;
 use super::WorkItem;
 use super::WorkNews;
 use super::WorkPhase;
+use super::WorkRole;
 use crate::routing::ServiceProfile;
 use crate::types::AttemptId;
 use crate::types::DataCentreId;
@@ -28,7 +31,7 @@
 const NEWS_LIFETIME: Duration = Duration::from_millis(2_500);
 
 /// Most attempts told in one message, so that it fits a datagram.
-const MAX_WORKS_TOLD: usize = 48;
+const MAX_WORKS_TOLD: usize = 160;
 
 /// Most waiting requests told in one message.
 const MAX_WAITS_TOLD: usize = 16;
@@ -59,7 +62,8 @@
     evacuated: BTreeSet<DataCentreId>,
     regions: BTreeMap<DataCentreId, RegionId>,
     services: BTreeMap<ServiceId, ServiceProfile>,
-    own: HashMap<AttemptId, WorkItem>,
+    /// What the runner of each attempt does, and then what its helpers do.
+    own: HashMap<AttemptId, Vec<WorkItem>>,
     peers: BTreeMap<NodeId, PeerView>,
     nodes: usize,
 }
@@ -116,26 +120,50 @@
         }
     }
 
-    /// Records that an attempt is about to be sent.
-    pub fn begin(&mut self, attempt: AttemptId, work: WorkItem, now: MonotonicTime) {
-        if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
+    /// Records that an attempt is about to be sent by `plan`.
+    pub fn begin(
+        &mut self,
+        attempt: AttemptId,
+        ask: &PlacementAsk,
+        plan: &PlacementPlan,
+        now: MonotonicTime,
+    ) {
+        if let Some(state) = self.endpoints.get_mut(&plan.endpoint) {
             state.gate.record(now);
         }
-        self.own.insert(attempt, work);
+        let work = |endpoint: &EndpointId, role, memory| WorkItem {
+            endpoint: Arc::clone(endpoint),
+            role,
+            prompt: ask.size.prompt,
+            memory,
+            read_time: plan.read_time,
+            phase: WorkPhase::Reading,
+            since: now,
+            pause_limit: ask.pause_limit,
+        };
+        let helpers = plan.helpers.iter();
+        let helpers = helpers.map(|part| work(&part.endpoint, WorkRole::Helper, part.memory));
+        let runner = work(&plan.endpoint, WorkRole::Runner, plan.memory);
+        self.own.insert(attempt, std::iter::once(runner).chain(helpers).collect());
     }
 
     /// Records that the answer of an attempt began.
     pub fn note_writing(&mut self, attempt: AttemptId, now: MonotonicTime) {
-        let Some(work) = self.own.get_mut(&attempt) else {
+        let Some(works) = self.own.get_mut(&attempt) else {
             return;
         };
-        work.phase = WorkPhase::Writing;
-        work.since = now;
+        // The whole prompt has been read; helpers go on only where they hold a part of it.
+        works.retain(|work| work.role == WorkRole::Runner || work.memory > 0);
+        for work in works {
+            work.phase = WorkPhase::Writing;
+            work.since = now;
+        }
     }
 
     /// Records that an attempt is over.
     pub fn end(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
-        let Some(work) = self.own.remove(&attempt) else {
+        let Some(work) = self.own.remove(&attempt).and_then(|works| works.into_iter().next())
+        else {
             return;
         };
         if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
@@ -213,7 +241,7 @@
     /// Returns the work of all nodes.
     pub fn works(&self, now: MonotonicTime) -> impl Iterator<Item = &WorkItem> {
         let peers = self.peers.values().filter(move |view| view.received + NEWS_LIFETIME > now);
-        self.own.values().chain(peers.flat_map(|view| &view.works))
+        self.own.values().flatten().chain(peers.flat_map(|view| &view.works))
     }
 
     /// Returns the requests that wait at other nodes, with the time since each arrived.
@@ -238,7 +266,7 @@
 
     /// Returns this node's work as it is told to others.
     pub fn work_news(&self, now: MonotonicTime) -> Vec<WorkNews> {
-        self.own.values().take(MAX_WORKS_TOLD).map(|work| WorkNews::new(work, now)).collect()
+        self.own.values().flatten().take(MAX_WORKS_TOLD).map(|work| WorkNews::new(work, now)).collect()
     }
 
     /// Returns the most waiting requests that are told to others.
--- a/crates/apricotknot-core/src/fleet/load_news.rs
+++ b/crates/apricotknot-core/src/fleet/load_news.rs
@@ -9,22 +9,24 @@
 use super::CrashNote;
 use super::WorkItem;
 use super::WorkPhase;
-use super::WorkSize;
+use super::WorkRole;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::NodeId;
 
-/// Describes one attempt that is under way at a node.
+/// Describes what one endpoint does for an attempt of a node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkNews {
-    /// Endpoint that runs the attempt.
+    /// Endpoint that does it.
     pub endpoint: EndpointId,
-    /// Tokens of the prompt.
+    /// Whether it helps another endpoint.
+    pub is_helper: bool,
+    /// Tokens of the whole prompt.
     pub prompt: u32,
-    /// Tokens that the answer is expected to have.
-    pub expected_output: u32,
-    /// Most tokens that the answer may have.
-    pub max_output: u32,
+    /// Memory that it holds, in tokens.
+    pub memory: u32,
+    /// Time that it takes to read its part, in milliseconds.
+    pub read_ms: u32,
     /// Whether the answer has begun.
     pub is_writing: bool,
     /// Time in this phase, in milliseconds.
@@ -38,9 +40,10 @@
     pub fn new(work: &WorkItem, now: MonotonicTime) -> Self {
         Self {
             endpoint: Arc::clone(&work.endpoint),
-            prompt: narrow(work.size.prompt),
-            expected_output: narrow(work.size.expected_output),
-            max_output: narrow(work.size.max_output),
+            is_helper: work.role == WorkRole::Helper,
+            prompt: narrow(work.prompt),
+            memory: narrow(work.memory),
+            read_ms: narrow(work.read_time.as_millis()),
             is_writing: work.phase == WorkPhase::Writing,
             age_ms: narrow(now.saturating_sub(work.since).as_millis()),
             pause_limit_ms: narrow(work.pause_limit.as_millis()),
@@ -51,14 +54,13 @@
     pub fn into_work(self, now: MonotonicTime) -> WorkItem {
         WorkItem {
             endpoint: self.endpoint,
-            size: WorkSize {
-                prompt: u64::from(self.prompt),
-                expected_output: u64::from(self.expected_output),
-                max_output: u64::from(self.max_output),
-            },
+            role: if self.is_helper { WorkRole::Helper } else { WorkRole::Runner },
+            prompt: u64::from(self.prompt),
+            memory: u64::from(self.memory),
+            read_time: milliseconds(self.read_ms),
             phase: if self.is_writing { WorkPhase::Writing } else { WorkPhase::Reading },
-            since: now.saturating_sub(Duration::from_millis(u64::from(self.age_ms))),
-            pause_limit: Duration::from_millis(u64::from(self.pause_limit_ms)),
+            since: now.saturating_sub(milliseconds(self.age_ms)),
+            pause_limit: milliseconds(self.pause_limit_ms),
         }
     }
 }
@@ -92,3 +94,7 @@
 fn narrow(value: impl TryInto<u32>) -> u32 {
     value.try_into().unwrap_or(u32::MAX)
 }
+
+fn milliseconds(value: u32) -> Duration {
+    Duration::from_millis(u64::from(value))
+}
--- a/crates/apricotknot-core/src/fleet/work.rs
+++ b/crates/apricotknot-core/src/fleet/work.rs
@@ -33,16 +33,31 @@
     Writing,
 }
 
-/// Describes one attempt that is under way.
+/// Says what an endpoint does for an attempt.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum WorkRole {
+    /// It runs the attempt.
+    Runner,
+    /// It reads a part of the prompt, and may hold it in its memory, for another endpoint.
+    Helper,
+}
+
+/// Describes what one endpoint does for one attempt.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WorkItem {
-    /// Endpoint that runs it.
+    /// Endpoint that does it.
     pub endpoint: EndpointId,
-    /// What it asks of the endpoint.
-    pub size: WorkSize,
-    /// How far it has come.
+    /// What it does.
+    pub role: WorkRole,
+    /// Tokens of the whole prompt.
+    pub prompt: TokenCount,
+    /// Memory that it holds, in tokens.
+    pub memory: TokenCount,
+    /// Time that it takes to read its part of the prompt.
+    pub read_time: Duration,
+    /// How far the attempt has come.
     pub phase: WorkPhase,
-    /// Moment at which it was sent, or began to be answered.
+    /// Moment at which the attempt was sent, or began to be answered.
     pub since: MonotonicTime,
     /// Longest pause between events that is on time.
     pub pause_limit: Duration,
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -8,6 +8,7 @@
 use apricotknot_core::fleet::PlacementAsk;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::TokenCount;
 use tokio::sync::oneshot;
 
 /// Asks where one attempt of a request goes.
@@ -32,10 +33,23 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Endpoints that help to read the prompt.
+    pub helpers: Vec<HelperGrant>,
     /// Time after which the answer is expected to begin.
     pub expected: Duration,
 }
 
+/// Names one endpoint that helps to read a prompt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HelperGrant {
+    /// Endpoint that helps.
+    pub endpoint: EndpointId,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Memory that it has to set aside, in tokens; none where it only reads.
+    pub memory: TokenCount,
+}
+
 /// Says why an attempt may not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlacementRefusal {
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 
 pub use command::ControlCommand;
 pub use command::EndpointGrant;
+pub use command::HelperGrant;
 pub use command::PlacementRefusal;
 pub use command::PlacementRequest;
 pub use feed::FeedEvent;
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -11,12 +11,11 @@
 use apricotknot_core::fleet::FleetBoard;
 use apricotknot_core::fleet::LoadNews;
 use apricotknot_core::fleet::PlacementAsk;
+use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementVerdict;
 use apricotknot_core::fleet::RetryShare;
 use apricotknot_core::fleet::RetryWindow;
 use apricotknot_core::fleet::WaitNews;
-use apricotknot_core::fleet::WorkItem;
-use apricotknot_core::fleet::WorkPhase;
 use apricotknot_core::fleet::place;
 use apricotknot_core::routing::DesiredState;
 use apricotknot_core::types::DataCentreId;
@@ -29,6 +28,7 @@
 
 use super::ControlCommand;
 use super::EndpointGrant;
+use super::HelperGrant;
 use super::NodeRegistry;
 use super::PlacementRefusal;
 use super::PlacementRequest;
@@ -250,7 +250,10 @@
     /// Counts the requests that come before `ask`: `own` of this node, and older ones elsewhere.
     fn rank(&self, ask: &PlacementAsk, own: usize, now: MonotonicTime) -> usize {
         let age = now.saturating_sub(ask.arrived);
-        own + self.board.peer_waits(now).filter(|(_, _, waited)| *waited > age).count()
+        let older = self.board.peer_waits(now).filter(|(_, prompt, waited)| {
+            *waited > age && *prompt <= ask.size.prompt
+        });
+        own + older.count()
     }
 
     /// Places a request if it can be; returns it if it has to wait.
@@ -265,33 +268,31 @@
             PlacementVerdict::Refuse { reason, retry_after } => {
                 let _ = waiting.reply.send(Err(PlacementRefusal { reason, retry_after }));
             },
-            PlacementVerdict::Send { endpoint, expected } => {
-                self.grant(waiting, endpoint, expected, now);
-            },
+            PlacementVerdict::Send(plan) => self.grant(waiting, plan, now),
         }
         None
     }
 
-    fn grant(
-        &mut self,
-        waiting: WaitingRequest,
-        endpoint: EndpointId,
-        expected: Duration,
-        now: MonotonicTime,
-    ) {
-        let Some(address) = self.board.endpoint(&endpoint).map(|state| state.entry.address) else {
+    fn grant(&mut self, waiting: WaitingRequest, plan: PlacementPlan, now: MonotonicTime) {
+        let address_of = |endpoint: &EndpointId| {
+            self.board.endpoint(endpoint).map(|state| state.entry.address)
+        };
+        let helpers = plan.helpers.iter().map(|part| {
+            Some(HelperGrant {
+                endpoint: Arc::clone(&part.endpoint),
+                address: address_of(&part.endpoint)?,
+                memory: part.memory,
+            })
+        });
+        let (Some(address), Some(helpers)) =
+            (address_of(&plan.endpoint), helpers.collect::<Option<Vec<_>>>())
+        else {
             return;
         };
         let attempt = waiting.request.attempt;
-        let work = WorkItem {
-            endpoint: Arc::clone(&endpoint),
-            size: waiting.request.ask.size,
-            phase: WorkPhase::Reading,
-            since: now,
-            pause_limit: waiting.request.ask.pause_limit,
-        };
-        self.board.begin(attempt, work, now);
-        let grant = EndpointGrant { attempt, endpoint, address, expected };
+        self.board.begin(attempt, &waiting.request.ask, &plan, now);
+        let (endpoint, expected) = (plan.endpoint, plan.expected);
+        let grant = EndpointGrant { attempt, endpoint, address, helpers, expected };
         if waiting.reply.send(Ok(grant)).is_err() {
             self.board.end(attempt, AttemptEnd::Abandoned, now);
         }
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -1,12 +1,15 @@
 //! One attempt at one endpoint.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::ResponseHead;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
+use super::reservation::ReservationSet;
 use crate::control::AttemptGuard;
+use crate::control::HelperGrant;
 use crate::endpoint::EndpointExchange;
 
 /// Holds an attempt that was sent.
@@ -15,6 +18,10 @@
     pub(super) guard: AttemptGuard,
     /// Endpoint that runs the attempt.
     pub(super) endpoint: EndpointId,
+    /// Endpoints that help to read the prompt.
+    pub(super) helpers: Vec<HelperGrant>,
+    /// Keeps the helpers' memory set aside.
+    pub(super) _memory: ReservationSet,
     /// Connection to the endpoint.
     pub(super) exchange: EndpointExchange,
     /// Longest silence until the answer begins.
@@ -25,6 +32,18 @@
     pub(super) sent_at: MonotonicTime,
 }
 
+impl OpenAttempt {
+    /// Returns the endpoint that `named` means, by id or address; the runner where nothing fits.
+    pub(super) fn at_fault(&self, named: Option<&str>) -> EndpointId {
+        let helper = self.helpers.iter().find(|helper| {
+            named.is_some_and(|named| {
+                *helper.endpoint == *named || helper.address.to_string() == named
+            })
+        });
+        Arc::clone(helper.map_or(&self.endpoint, |helper| &helper.endpoint))
+    }
+}
+
 /// Holds an attempt whose answer has begun.
 pub(super) struct AnsweredAttempt {
     pub(super) open: OpenAttempt,
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -23,6 +23,7 @@
 use super::attempt::CallBreak;
 use super::attempt::OpenAttempt;
 use super::attempt::WaitBreak;
+use super::reservation::reserve;
 use crate::CallLabels;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
@@ -187,6 +188,17 @@
 
     async fn open(&mut self, grant: EndpointGrant) -> Result<OpenAttempt, CallBreak> {
         let mut guard = AttemptGuard::new(self.context.control.clone(), grant.attempt);
+        let reserving = reserve(self.context, grant.attempt, &grant.helpers);
+        let (helpers, memory) = match self.unless_broken(reserving, None).await {
+            Err(WaitBreak::CallerGone) => return Err(CallBreak::CallerGone),
+            Err(_) => return Err(CallBreak::Deadline),
+            Ok(Some(reserved)) => reserved,
+            Ok(None) => {
+                guard.set_end(AttemptEnd::Refused);
+                self.note_attempt(&grant.endpoint, AttemptEnd::Refused, "no memory at a helper");
+                return Err(CallBreak::Attempt(AttemptFault::NotRun));
+            },
+        };
         let mut head = self.call.head.clone();
         let order = AttemptOrder {
             endpoint: Arc::clone(&grant.endpoint),
@@ -194,6 +206,7 @@
             time_left: self.call.deadline.saturating_sub(self.now()),
             last_event: self.last_event,
             urgency: urgency_of(self.call.terms.size.prompt),
+            helpers,
         };
         self.context.protocol.write_attempt(&mut head, &order);
         let order = ExchangeOrder {
@@ -218,6 +231,8 @@
                     endpoint: grant.endpoint,
                     exchange,
                     patience: self.patience(grant.expected),
+                    helpers: grant.helpers,
+                    _memory: memory,
                     expected: grant.expected,
                     sent_at: self.now(),
                 })
@@ -247,7 +262,7 @@
             };
             open.guard.set_end(end);
             self.note_attempt(&open.endpoint, end, head.status.as_str());
-            self.excluded.push(open.endpoint);
+            self.excluded.push(open.at_fault(terms.at_fault.as_deref()));
             return Err(CallBreak::Attempt(AttemptFault::NotRun));
         }
         let is_ours = terms.request_id.as_deref() == Some(&*self.call.terms.request_id);
--- a/crates/apricotknot-gateway/src/driver/mod.rs
+++ b/crates/apricotknot-gateway/src/driver/mod.rs
@@ -7,6 +7,7 @@
 mod context;
 mod event_relay;
 mod fingerprint;
+mod reservation;
 mod session;
 
 pub use call_fault::CallFault;
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -1,5 +1,6 @@
 //! How callers and endpoints write what they say beside a request's body.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,8 +9,13 @@
 use apricotknot_core::fleet::WorkSize;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::TokenCount;
+use bytes::Bytes;
 use thiserror::Error;
 
+/// Names memory that an endpoint has set aside.
+pub type ReservationId = Arc<str>;
+
 /// Holds what a caller says of its request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CallTerms {
@@ -50,6 +56,36 @@
     pub last_event: Option<u64>,
     /// Rank among the endpoint's requests, 0 first to 9 last.
     pub urgency: u8,
+    /// Endpoints that help to read the prompt.
+    pub helpers: Vec<HelperAddress>,
+}
+
+/// Names an endpoint that helps to read a prompt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HelperAddress {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// Memory that it has set aside for the prompt.
+    pub reservation: Option<ReservationId>,
+}
+
+/// Asks an endpoint to set memory aside, or to free it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReservationOrder {
+    /// Sets memory aside, or renews it.
+    Hold {
+        /// Names the memory.
+        id: ReservationId,
+        /// Size of the memory, in tokens.
+        tokens: TokenCount,
+        /// Time after which it is free again unless it is renewed.
+        time: Duration,
+    },
+    /// Frees memory.
+    Release {
+        /// Names the memory.
+        id: ReservationId,
+    },
 }
 
 /// Holds what an endpoint says in the head of its answer.
@@ -61,6 +97,8 @@
     pub is_sealed: bool,
     /// Whether the endpoint says that it did not and will not run the request.
     pub is_not_run: bool,
+    /// Endpoint whose fault it is that the request was not run, by id or address.
+    pub at_fault: Option<Arc<str>>,
     /// Whether another endpoint than the one meant has answered.
     pub is_misdirected: bool,
 }
@@ -77,6 +115,9 @@
     /// Turns the caller's head into that of one attempt.
     fn write_attempt(&self, head: &mut RequestHead, order: &AttemptOrder);
 
+    /// Writes an order about an endpoint's memory; it is answered with status 200 once done.
+    fn write_reservation(&self, order: &ReservationOrder) -> (RequestHead, Bytes);
+
     /// Reads what an endpoint says in the head of its answer.
     fn read_answer(&self, head: &ResponseHead) -> AnswerTerms;
 
