--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -211,19 +211,27 @@
 ) -> PlacementVerdict {
     let is_over = now >= wait_end(ask, engine);
     let Some(found) = plan else {
-        return match is_over {
-            true => PlacementVerdict::Refuse { reason: "no room", retry_after: FULL_RETRY },
-            false => PlacementVerdict::Wait,
-        };
+        return wait_or_refuse(is_over);
     };
-    let may_wait = ask.size.prompt >= LONG_PROMPT && !is_over;
+    let is_long = ask.size.prompt >= LONG_PROMPT;
+    if is_long && found.net <= 0.0 {
+        return wait_or_refuse(is_over);
+    }
+    let may_wait = is_long && !is_over;
     let can_be_timely = now < ask.arrived + ask.target_latency.mul_f64(TIMELY_SHARE);
-    if may_wait && (rank > 0 || found.net <= 0.0 || (!found.is_timely && can_be_timely)) {
+    if may_wait && (rank > 0 || (!found.is_timely && can_be_timely)) {
         return PlacementVerdict::Wait;
     }
     PlacementVerdict::Send(found.plan)
 }
 
+fn wait_or_refuse(is_over: bool) -> PlacementVerdict {
+    match is_over {
+        true => PlacementVerdict::Refuse { reason: "no room", retry_after: FULL_RETRY },
+        false => PlacementVerdict::Wait,
+    }
+}
+
 /// Returns the moment after which waiting for room serves nobody.
 fn wait_end(ask: &PlacementAsk, engine: Option<&EngineModel>) -> MonotonicTime {
     if ask.size.prompt < LONG_PROMPT {
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -28,10 +28,10 @@
 const TIME_COST: f64 = 0.3;
 
 /// Value of an endpoint that writes no short streams, to the long prompts to come.
-const EMPTY_COST: f64 = 0.1;
+const EMPTY_COST: f64 = 0.3;
 
 /// Part of an engine's slots that short streams fill before another engine is used.
-const PACKED_SHARE: f64 = 0.6;
+const PACKED_SHARE: f64 = 0.75;
 
 /// Smallest part of a prompt that is held for another endpoint, in tokens.
 const MIN_HELD: TokenCount = 4_000;
@@ -120,9 +120,8 @@
     let value = value_of(ask.size.prompt);
     let gain = if is_timely { value } else { value * LATE_SHARE };
     let time = first_event.as_secs_f64() / ask.target_latency.as_secs_f64().max(1e-3);
-    let net = gain
+    let net = gain * (1.0 - TIME_COST * time.min(1.0))
         - harm
-        - value * TIME_COST * time
         - SEAT_COST * count as f64
         - emptiness_cost(engine, &runner.seat.load, ask);
     Some(SharePlan {
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -39,6 +39,13 @@
     pub expected: Duration,
 }
 
+impl EndpointGrant {
+    /// Returns the memory that helpers have to set aside, in tokens.
+    pub fn held_tokens(&self) -> TokenCount {
+        self.helpers.iter().map(|helper| helper.memory).sum()
+    }
+}
+
 /// Names one endpoint that helps to read a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HelperGrant {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -230,7 +230,7 @@
             return;
         }
         let waiting = WaitingRequest { request, reply };
-        let rank = self.rank(&waiting.request.ask, self.waiting.len(), now);
+        let rank = self.rank(&waiting.request.ask, now);
         if let Some(waiting) = self.try_place(waiting, rank, now) {
             self.waiting.push(waiting);
         }
@@ -240,20 +240,24 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|waiting| !waiting.reply.is_closed());
         for request in waiting {
-            let rank = self.rank(&request.request.ask, self.waiting.len(), now);
+            let rank = self.rank(&request.request.ask, now);
             if let Some(request) = self.try_place(request, rank, now) {
                 self.waiting.push(request);
             }
         }
     }
 
-    /// Counts the requests that come before `ask`: `own` of this node, and older ones elsewhere.
-    fn rank(&self, ask: &PlacementAsk, own: usize, now: MonotonicTime) -> usize {
+    /// Counts the requests that come before `ask`: older ones, at any node, that are no larger.
+    fn rank(&self, ask: &PlacementAsk, now: MonotonicTime) -> usize {
         let age = now.saturating_sub(ask.arrived);
-        let older = self.board.peer_waits(now).filter(|(_, prompt, waited)| {
+        let own = self.waiting.iter().map(|waiting| &waiting.request.ask);
+        let own = own.filter(|other| {
+            other.arrived < ask.arrived && other.size.prompt <= ask.size.prompt
+        });
+        let peers = self.board.peer_waits(now).filter(|(_, prompt, waited)| {
             *waited > age && *prompt <= ask.size.prompt
         });
-        own + older.count()
+        own.count() + peers.count()
     }
 
     /// Places a request if it can be; returns it if it has to wait.
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -165,7 +165,10 @@
         match self.unless_broken(reply, None).await {
             Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
             Err(_) => Err(self.end_late()),
-            Ok(Ok(Ok(grant))) => Ok(grant),
+            Ok(Ok(Ok(grant))) => {
+                self.note_placed(&grant);
+                Ok(grant)
+            },
             Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
                 reason: refusal.reason,
                 retry_after: refusal.retry_after,
@@ -472,6 +475,18 @@
         self.context.metrics.answer_begin.observe(waited.as_secs_f64());
     }
 
+    fn note_placed(&self, grant: &EndpointGrant) {
+        info!(
+            self.context.logger, "call: placed";
+            "request" => %self.call.terms.request_id, "endpoint" => %grant.endpoint,
+            "helpers" => grant.helpers.len(), "held" => grant.held_tokens(),
+            "prompt" => self.call.terms.size.prompt,
+            "expected_ms" => millis(grant.expected),
+            "waited_ms" => millis(self.now().saturating_sub(self.call.arrived)),
+            "version" => self.call.version, "knowledge_ms" => millis(self.call.knowledge_age)
+        );
+    }
+
     fn note_attempt(&self, endpoint: &EndpointId, end: AttemptEnd, cause: &str) {
         self.count_attempt(end);
         warn!(
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -23,7 +23,7 @@
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
 /// Shortest pause between two events after which a stream is tried elsewhere.
-const MIN_PAUSE: Duration = Duration::from_millis(1_000);
+const MIN_PAUSE: Duration = Duration::from_millis(1_600);
 
 /// Pauses in relation to the longest one that is on time.
 const PAUSE_FACTOR: u32 = 3;
