--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -16,6 +16,7 @@
     desired: watch::Sender<Option<Arc<DesiredState>>>,
     known_at_ms: AtomicU64,
     is_stopping: AtomicBool,
+    is_closed: AtomicBool,
     max_age: Duration,
 }
 
@@ -27,6 +28,7 @@
             desired: watch::Sender::new(None),
             known_at_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             max_age,
         }
     }
@@ -46,6 +48,11 @@
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::Release);
     }
+
+    /// Notes that the node takes no more requests.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Release);
+    }
 }
 
 // Queries.
@@ -70,6 +77,11 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
+    /// Returns whether the node takes no more requests.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
+
     /// Returns whether new connections should come to this node.
     pub fn is_ready(&self, now: MonotonicTime) -> bool {
         self.is_fresh(now) && !self.is_stopping()
--- a/crates/apricotknot-gateway/src/driver/call_fault.rs
+++ b/crates/apricotknot-gateway/src/driver/call_fault.rs
@@ -16,6 +16,9 @@
 /// Time after which a node that knows no configuration may know one.
 const UNREADY_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after which another node has surely taken the place of one that stops.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// Says why a call gets an answer of the gateway and not of an endpoint.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum CallFault {
@@ -43,6 +46,9 @@
     /// The node does not know the newest configuration.
     #[error("this node does not know the newest configuration; another one may")]
     Unready,
+    /// The node is about to end and takes no more requests.
+    #[error("not run: this node stops; send the request on a new connection")]
+    Stopping,
     /// No endpoint takes the request, which was not and will not be run.
     #[error("not run: {reason}; come back in {retry_after:?}")]
     Refused {
@@ -81,6 +87,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::Unready => "unready",
+            Self::Stopping => "stopping",
             Self::Refused { .. } => "refused",
             Self::LateUnsent => "late_unsent",
             Self::LateSent => "late_sent",
@@ -97,7 +104,7 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::Unready | Self::Refused { .. } | Self::LateUnsent => {
+            Self::Unready | Self::Stopping | Self::Refused { .. } | Self::LateUnsent => {
                 StatusCode::SERVICE_UNAVAILABLE
             },
             Self::LateSent => StatusCode::GATEWAY_TIMEOUT,
@@ -129,6 +136,7 @@
     fn retry_seconds(&self) -> Option<HeaderValue> {
         let after = match self {
             Self::Unready | Self::LateUnsent => UNREADY_RETRY,
+            Self::Stopping => STOPPING_RETRY,
             Self::Refused { retry_after, .. } => *retry_after,
             _ => return None,
         };
--- a/crates/apricotknot-gateway/src/driver/call_record.rs
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -60,6 +60,9 @@
         request: IncomingRequest,
         arrived: MonotonicTime,
     ) -> Result<Self, CallFault> {
+        if context.shared.is_closed() {
+            return Err(CallFault::Stopping);
+        }
         let IncomingRequest { mut head, body } = request;
         let terms = context.protocol.read_call(&head).map_err(CallFault::BadTerms)?;
         let desired = context.shared.desired().ok_or(CallFault::Unready)?;
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -39,7 +39,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time for which a node that stops still takes requests, until the balancer has noticed.
-const UNREADY_TIME: Duration = Duration::from_millis(3_200);
+const UNREADY_TIME: Duration = Duration::from_millis(2_800);
 
 /// Time between two looks at whether all requests are answered.
 const STOP_LOOK: Duration = Duration::from_millis(50);
@@ -121,6 +121,9 @@
         info!(self.context.logger, "node: stopping"; "open" => self.open_calls());
         self.context.shared.stop();
         tokio::time::sleep(UNREADY_TIME.min(self.stop_time / 2)).await;
+        self.context.shared.close();
+        info!(self.context.logger, "node: closed to requests"; "open" => self.open_calls());
+        tokio::time::sleep(STOP_LOOK).await;
         while self.open_calls() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_LOOK).await;
         }
