--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -33,6 +33,9 @@
 /// Part of an engine's slots that short streams fill before another engine is used.
 const PACKED_SHARE: f64 = 0.75;
 
+/// Part of its slots that an engine uses while it is cold, as a divisor.
+const COLD_SLOTS: u32 = 4;
+
 /// Smallest part of a prompt that is held for another endpoint, in tokens.
 const MIN_HELD: TokenCount = 4_000;
 
@@ -151,10 +154,11 @@
 ) -> WeighedSeat<'a> {
     let is_busy = seat.load.writers() > 0;
     let under_way = if is_busy { seat.load.pass(engine) / 2 } else { Duration::ZERO };
+    let reading = (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness);
     WeighedSeat {
         seat,
         harm: seat.load.harm(engine, part, now) + seat.failures * FAILURE_COST,
-        ready: (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness),
+        ready: reading + seat.load.overdue(now),
     }
 }
 
@@ -167,7 +171,8 @@
 ) -> Option<usize> {
     let needed = if count == 1 { ask.size.memory() } else { ask.size.memory().min(MIN_HELD) };
     let has_place = |weighed: &WeighedSeat<'_>| {
-        weighed.seat.load.running < engine.slots && weighed.seat.free_memory >= needed
+        let slots = if weighed.seat.is_cold { engine.slots / COLD_SLOTS } else { engine.slots };
+        weighed.seat.load.running < slots.max(1) && weighed.seat.free_memory >= needed
     };
     let cost = |weighed: &WeighedSeat<'_>| {
         let load = &weighed.seat.load;
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -11,6 +11,8 @@
 use apricotknot_core::types::TokenCount;
 use tokio::sync::oneshot;
 
+use super::AttemptGuard;
+
 /// Asks where one attempt of a request goes.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest {
@@ -20,15 +22,17 @@
     pub ask: PlacementAsk,
     /// Whether the request was sent to an endpoint before.
     pub is_repeat: bool,
+    /// Whether the request may wait for room.
+    pub may_wait: bool,
     /// Identifies requests that are equal.
     pub fingerprint: Fingerprint,
 }
 
 /// Allows one attempt at one endpoint.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct EndpointGrant {
-    /// Identifies the attempt.
-    pub attempt: AttemptId,
+    /// Tells the control thread how the attempt ended, also where the grant is never used.
+    pub guard: AttemptGuard,
     /// Endpoint that is to run the attempt.
     pub endpoint: EndpointId,
     /// Address of the endpoint.
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -84,11 +84,13 @@
     F: FnOnce() -> ControlParts<S, T> + Send + 'static,
 {
     let (sender, commands) = mpsc::unbounded_channel();
+    let handle = ControlHandle::new(sender);
+    let own_handle = handle.clone();
     let thread = thread::Builder::new().name("control".into()).spawn(move || {
         System::new().block_on(async move {
             let parts = parts();
             let logger = parts.logger.clone();
-            match ControlRunner::start(parts, commands).await {
+            match ControlRunner::start(parts, own_handle, commands).await {
                 Ok(runner) => runner.run().await,
                 Err(error) => {
                     slog::error!(logger, "control: cannot start"; "error" => %error);
@@ -96,7 +98,7 @@
             }
         });
     })?;
-    Ok((ControlHandle::new(sender), thread))
+    Ok((handle, thread))
 }
 
 struct ControlRunner {
@@ -116,6 +118,7 @@
 impl ControlRunner {
     async fn start<S: MetadataStore, T: RecordTranslator>(
         parts: ControlParts<S, T>,
+        handle: ControlHandle,
         commands: mpsc::UnboundedReceiver<ControlCommand>,
     ) -> io::Result<Self> {
         let clock = BootClock;
@@ -131,7 +134,13 @@
             NodeAnnouncer::new(parts.store, Arc::clone(&parts.node), record, logger).run(),
         );
         let node = Arc::clone(&parts.node);
-        let state = ControlState::new(parts.node, parts.incarnation, parts.regions, parts.limits);
+        let state = ControlState::new(
+            handle,
+            parts.node,
+            parts.incarnation,
+            parts.regions,
+            parts.limits,
+        );
         Ok(Self {
             state,
             node,
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::CrashBook;
 use apricotknot_core::fleet::CrashNote;
 use apricotknot_core::fleet::FleetBoard;
@@ -26,7 +25,9 @@
 use apricotknot_core::types::ServiceId;
 use tokio::sync::oneshot;
 
+use super::AttemptGuard;
 use super::ControlCommand;
+use super::ControlHandle;
 use super::EndpointGrant;
 use super::HelperGrant;
 use super::NodeRegistry;
@@ -63,6 +64,8 @@
 /// Holds what a node knows, and decides where its requests go.
 #[derive(Debug)]
 pub struct ControlState {
+    /// Leads back to this state, for the ends of grants.
+    handle: ControlHandle,
     node: NodeId,
     incarnation: u64,
     sequence: u64,
@@ -84,12 +87,14 @@
 impl ControlState {
     /// Creates the state of a node that knows nothing yet.
     pub fn new(
+        handle: ControlHandle,
         node: NodeId,
         incarnation: u64,
         regions: BTreeMap<DataCentreId, RegionId>,
         limits: StateLimits,
     ) -> Self {
         Self {
+            handle,
             node,
             incarnation,
             sequence: 0,
@@ -239,6 +244,12 @@
     fn place_waiting(&mut self, now: MonotonicTime) {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|waiting| !waiting.reply.is_closed());
+        // Those that can still be answered on time go first: one that waited for longer gains
+        // nothing by it, and would only make the next one late too.
+        waiting.sort_by_key(|waiting| {
+            let ask = &waiting.request.ask;
+            (now >= ask.arrived + ask.target_latency, ask.arrived)
+        });
         for request in waiting {
             let rank = self.rank(&request.request.ask, now);
             if let Some(request) = self.try_place(request, rank, now) {
@@ -268,7 +279,11 @@
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
         match place(&self.board, &waiting.request.ask, rank, now) {
-            PlacementVerdict::Wait => return Some(waiting),
+            PlacementVerdict::Wait if waiting.request.may_wait => return Some(waiting),
+            PlacementVerdict::Wait => {
+                let refusal = PlacementRefusal { reason: "no room", retry_after: REPEAT_RETRY };
+                let _ = waiting.reply.send(Err(refusal));
+            },
             PlacementVerdict::Refuse { reason, retry_after } => {
                 let _ = waiting.reply.send(Err(PlacementRefusal { reason, retry_after }));
             },
@@ -296,10 +311,10 @@
         let attempt = waiting.request.attempt;
         self.board.begin(attempt, &waiting.request.ask, &plan, now);
         let (endpoint, expected) = (plan.endpoint, plan.expected);
-        let grant = EndpointGrant { attempt, endpoint, address, helpers, expected };
-        if waiting.reply.send(Ok(grant)).is_err() {
-            self.board.end(attempt, AttemptEnd::Abandoned, now);
-        }
+        let guard = AttemptGuard::new(self.handle.clone(), attempt);
+        let grant = EndpointGrant { guard, endpoint, address, helpers, expected };
+        // A grant that nobody takes ends as it is dropped.
+        let _ = waiting.reply.send(Ok(grant));
     }
 
     fn apply_registry(&mut self, change: RegistryChange, now: MonotonicTime) {
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -54,7 +54,7 @@
 const MEDIUM_PROMPT: u64 = 110_000;
 
 /// Shortest silence after which another endpoint is tried.
-const MIN_PATIENCE: Duration = Duration::from_millis(600);
+const MIN_PATIENCE: Duration = Duration::from_millis(900);
 
 /// Shortest time that counts as expected for an answer to begin.
 const MIN_EXPECTED: Duration = Duration::from_millis(50);
@@ -95,6 +95,8 @@
     /// Endpoint of the newest attempt.
     endpoint: Option<EndpointId>,
     begun_after: Option<Duration>,
+    /// Endpoint that was found in place of a silent one.
+    next_grant: Option<EndpointGrant>,
     sends: u32,
     runs: u32,
     /// Answer that is passed on if no better one comes.
@@ -117,6 +119,7 @@
             excluded: Vec::new(),
             endpoint: None,
             begun_after: None,
+            next_grant: None,
             sends: 0,
             runs: 0,
             fallback: None,
@@ -146,7 +149,42 @@
     // Placing
 
     async fn ask_grant(&mut self) -> Result<EndpointGrant, CallEnd> {
-        let request = PlacementRequest {
+        if let Some(grant) = self.next_grant.take() {
+            return Ok(grant);
+        }
+        let reply = self.context.control.place(self.placement_request(true));
+        match self.unless_broken(reply, None).await {
+            Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
+            Err(_) => Err(self.end_late()),
+            Ok(Ok(Ok(grant))) => {
+                self.note_placed(&grant);
+                Ok(grant)
+            },
+            Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            }))),
+            Ok(Err(_)) => Err(self.end_failed(None)),
+        }
+    }
+
+    /// Looks for another endpoint in place of a silent one.
+    ///
+    /// Where there is none, the silent one is waited for on: its work is not thrown away in vain.
+    pub(super) async fn find_other(&mut self, silent: &EndpointId) -> bool {
+        self.excluded.push(Arc::clone(silent));
+        let reply = self.context.control.place(self.placement_request(false));
+        let Ok(Ok(Ok(grant))) = self.unless_broken(reply, None).await else {
+            self.excluded.pop();
+            return false;
+        };
+        self.note_placed(&grant);
+        self.next_grant = Some(grant);
+        true
+    }
+
+    fn placement_request(&self, may_wait: bool) -> PlacementRequest {
+        PlacementRequest {
             attempt: rand::random(),
             ask: PlacementAsk {
                 service: Arc::clone(&self.call.service),
@@ -159,21 +197,8 @@
                 deadline: self.call.deadline,
             },
             is_repeat: self.sends > 0,
+            may_wait,
             fingerprint: self.call.fingerprint,
-        };
-        let reply = self.context.control.place(request);
-        match self.unless_broken(reply, None).await {
-            Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
-            Err(_) => Err(self.end_late()),
-            Ok(Ok(Ok(grant))) => {
-                self.note_placed(&grant);
-                Ok(grant)
-            },
-            Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            }))),
-            Ok(Err(_)) => Err(self.end_failed(None)),
         }
     }
 
@@ -190,8 +215,8 @@
     }
 
     async fn open(&mut self, grant: EndpointGrant) -> Result<OpenAttempt, CallBreak> {
-        let mut guard = AttemptGuard::new(self.context.control.clone(), grant.attempt);
-        let reserving = reserve(self.context, grant.attempt, &grant.helpers);
+        let mut guard = grant.guard;
+        let reserving = reserve(self.context, guard.attempt(), &grant.helpers);
         let (helpers, memory) = match self.unless_broken(reserving, None).await {
             Err(WaitBreak::CallerGone) => return Err(CallBreak::CallerGone),
             Err(_) => return Err(CallBreak::Deadline),
@@ -244,11 +269,16 @@
     }
 
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallBreak> {
-        let patience = open.patience;
-        match self.unless_broken(open.exchange.read_head(), patience).await {
-            Err(reason) => Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
-            Ok(Err(error)) => Err(self.lose(open, &error)),
-            Ok(Ok(head)) => self.check_head(open, head),
+        loop {
+            let patience = open.patience;
+            match self.unless_broken(open.exchange.read_head(), patience).await {
+                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
+                    open.patience = None;
+                },
+                Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
+                Ok(Err(error)) => return Err(self.lose(open, &error)),
+                Ok(Ok(head)) => return self.check_head(open, head),
+            }
         }
     }
 
@@ -287,6 +317,9 @@
         loop {
             let patience = open.patience;
             match self.unless_broken(open.exchange.read_part(), patience).await {
+                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
+                    open.patience = None;
+                },
                 Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
                 Ok(Err(error)) => return Err(self.lose(open, &error)),
                 Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_HELD_BYTES => {
@@ -363,7 +396,7 @@
         if !self.may_run_again() || self.runs + 1 >= self.call.route.attempts {
             return None;
         }
-        Some(self.call.route.target_latency.max(expected * 2) * 2 + MIN_PATIENCE)
+        Some(self.call.route.target_latency.max(expected) * 2 + MIN_PATIENCE)
     }
 
     // Failing
@@ -386,7 +419,6 @@
             WaitBreak::Silence => {
                 guard.set_end(AttemptEnd::Silent);
                 self.note_attempt(endpoint, AttemptEnd::Silent, "silence");
-                self.excluded.push(Arc::clone(endpoint));
                 CallBreak::Attempt(AttemptFault::MayHaveRun)
             },
         }
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -9,6 +9,7 @@
 use super::attempt::AnsweredAttempt;
 use super::attempt::CallBreak;
 use super::attempt::OpenAttempt;
+use super::attempt::WaitBreak;
 use super::call_driver::CallDriver;
 use crate::caller::hop_free;
 use crate::endpoint::EventSplitter;
@@ -42,6 +43,9 @@
         let mut is_first = true;
         loop {
             match self.unless_broken(open.exchange.read_part(), patience).await {
+                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
+                    patience = None;
+                },
                 Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
                 Ok(Err(error)) => return Err(self.lose(open, &error)),
                 Ok(Ok(None)) if splitter.is_empty() => break,
