placement: overdue and cold engines are weighed as others

Tried: an engine whose oldest read was overdue counted as late for as long again; cold engines as four times slower, with a quarter of their slots. Conclusion: both reverted; timely requests first, and silent engines left only for another one, are kept.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -18,9 +18,6 @@
 /// Read time of a part from which those that read behind it are late.
 const SLOW_READ: Duration = Duration::from_millis(150);
 
-/// Time beyond its reading after which an answer is expected to begin at the latest.
-const READ_SLACK: Duration = Duration::from_millis(250);
-
 /// Holds the work of all nodes at one endpoint.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EndpointLoad {
@@ -67,27 +64,11 @@
 
     /// Returns the time until all reads under way are done, one after the other.
     pub(super) fn backlog(&self, now: MonotonicTime) -> Duration {
-        self.read_ends().last().copied().unwrap_or_default().saturating_sub(now)
-    }
-
-    /// Returns for how long the oldest read under way has been overdue.
-    ///
-    /// An endpoint that is behind for so long is expected to stay so for as long again.
-    pub(super) fn overdue(&self, now: MonotonicTime) -> Duration {
-        let first = self.read_ends().first().copied();
-        let late = first.map(|end| now.saturating_sub(end)).unwrap_or_default();
-        late.saturating_sub(READ_SLACK)
-    }
-
-    /// Returns when each read under way is expected to end, one after the other.
-    fn read_ends(&self) -> Vec<MonotonicTime> {
         let mut reads = self.reads.clone();
         reads.sort_unstable();
-        let ends = reads.into_iter().scan(MonotonicTime::ZERO, |end, (since, time)| {
-            *end = (*end).max(since) + time;
-            Some(*end)
-        });
-        ends.collect()
+        let ends = reads.into_iter();
+        let end = ends.fold(MonotonicTime::ZERO, |end, (since, time)| end.max(since) + time);
+        end.saturating_sub(now)
     }
 
     /// Returns the time between two events of the streams that are written, without any reads.
--- a/crates/apricotknot-core/src/fleet/fleet_board.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -245,10 +245,7 @@
     }
 
     /// Returns the requests that wait at other nodes, with the time since each arrived.
-    pub fn peer_waits(
-        &self,
-        now: MonotonicTime,
-    ) -> impl Iterator<Item = (&NodeId, u64, Duration)> {
+    pub fn peer_waits(&self, now: MonotonicTime) -> impl Iterator<Item = (&NodeId, u64, Duration)> {
         let peers = self.peers.iter().filter(move |(_, view)| view.received + NEWS_LIFETIME > now);
         peers.flat_map(move |(node, view)| {
             let since = now.saturating_sub(view.received);
@@ -266,7 +263,12 @@
 
     /// Returns this node's work as it is told to others.
     pub fn work_news(&self, now: MonotonicTime) -> Vec<WorkNews> {
-        self.own.values().flatten().take(MAX_WORKS_TOLD).map(|work| WorkNews::new(work, now)).collect()
+        self.own
+            .values()
+            .flatten()
+            .take(MAX_WORKS_TOLD)
+            .map(|work| WorkNews::new(work, now))
+            .collect()
     }
 
     /// Returns the most waiting requests that are told to others.
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -35,9 +35,6 @@
 /// Value that an endpoint loses when all of its attempts fail.
 pub(super) const FAILURE_COST: f64 = 20.0;
 
-/// Times that an endpoint is slower than usual while it is cold.
-const COLD_SLOWNESS: f64 = 4.0;
-
 /// Part of an engine's memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.97;
 
@@ -173,16 +170,14 @@
     engine: Option<&EngineModel>,
     now: MonotonicTime,
 ) -> ShareSeat {
-    let is_cold = now < state.entry.cold_until;
-    let slowness = state.health.slowness(now);
     let memory = engine.map_or(0, |engine| (engine.memory as f64 * MEMORY_SHARE) as TokenCount);
     ShareSeat {
         endpoint: Arc::clone(&state.entry.id),
         slots: state.entry.slots.max(1),
         free_memory: memory.saturating_sub(load.memory),
         failures: state.health.failure_share(now),
-        slowness: if is_cold { slowness.max(COLD_SLOWNESS) } else { slowness },
-        is_cold,
+        slowness: state.health.slowness(now),
+        is_cold: now < state.entry.cold_until,
         load,
     }
 }
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -33,9 +33,6 @@
 /// Part of an engine's slots that short streams fill before another engine is used.
 const PACKED_SHARE: f64 = 0.75;
 
-/// Part of its slots that an engine uses while it is cold, as a divisor.
-const COLD_SLOTS: u32 = 4;
-
 /// Smallest part of a prompt that is held for another endpoint, in tokens.
 const MIN_HELD: TokenCount = 4_000;
 
@@ -118,8 +115,8 @@
     let ready = helpers.iter().map(|helper| helper.ready).fold(runner.ready, Duration::max);
     let first_event = ready + pass_with(engine, &runner.seat.load, ask.size.prompt);
     let harm: f64 = runner.harm + helpers.iter().map(|helper| helper.harm).sum::<f64>();
-    let is_timely = now.saturating_sub(ask.arrived) + first_event
-        <= ask.target_latency.mul_f64(TIMELY_SHARE);
+    let is_timely =
+        now.saturating_sub(ask.arrived) + first_event <= ask.target_latency.mul_f64(TIMELY_SHARE);
     let value = value_of(ask.size.prompt);
     let gain = if is_timely { value } else { value * LATE_SHARE };
     let time = first_event.as_secs_f64() / ask.target_latency.as_secs_f64().max(1e-3);
@@ -154,11 +151,10 @@
 ) -> WeighedSeat<'a> {
     let is_busy = seat.load.writers() > 0;
     let under_way = if is_busy { seat.load.pass(engine) / 2 } else { Duration::ZERO };
-    let reading = (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness);
     WeighedSeat {
         seat,
         harm: seat.load.harm(engine, part, now) + seat.failures * FAILURE_COST,
-        ready: reading + seat.load.overdue(now),
+        ready: (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness),
     }
 }
 
@@ -171,8 +167,7 @@
 ) -> Option<usize> {
     let needed = if count == 1 { ask.size.memory() } else { ask.size.memory().min(MIN_HELD) };
     let has_place = |weighed: &WeighedSeat<'_>| {
-        let slots = if weighed.seat.is_cold { engine.slots / COLD_SLOTS } else { engine.slots };
-        weighed.seat.load.running < slots.max(1) && weighed.seat.free_memory >= needed
+        weighed.seat.load.running < engine.slots && weighed.seat.free_memory >= needed
     };
     let cost = |weighed: &WeighedSeat<'_>| {
         let load = &weighed.seat.load;
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -309,7 +309,8 @@
 fn head_bytes(head: &RequestHead) -> usize {
     let target = head.uri.path_and_query().map_or(1, |target| target.as_str().len());
     let headers = head.headers.iter();
-    target + headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES).sum::<usize>()
+    target
+        + headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES).sum::<usize>()
 }
 
 fn declared_length(headers: &HeaderMap) -> Option<usize> {
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -72,12 +72,7 @@
 
 impl<S: MetadataStore, T: RecordTranslator> StateFeed<S, T> {
     /// Creates the feed that reads from `store`.
-    pub fn new(
-        store: S,
-        translator: T,
-        clock: BootClock,
-        events: mpsc::Sender<FeedEvent>,
-    ) -> Self {
+    pub fn new(store: S, translator: T, clock: BootClock, events: mpsc::Sender<FeedEvent>) -> Self {
         Self { store, translator, clock, events, failures: 0 }
     }
 
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -124,23 +124,15 @@
         let clock = BootClock;
         let socket = UdpSocket::bind(parts.news_address).await?;
         let (events, feed) = mpsc::channel(FEED_CAPACITY);
-        actix_rt::spawn(
-            StateFeed::new(parts.store.clone(), parts.translator, clock, events).run(),
-        );
-        let record =
-            NodeRecord { address: parts.news_address, incarnation: parts.incarnation };
+        actix_rt::spawn(StateFeed::new(parts.store.clone(), parts.translator, clock, events).run());
+        let record = NodeRecord { address: parts.news_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
         actix_rt::spawn(
             NodeAnnouncer::new(parts.store, Arc::clone(&parts.node), record, logger).run(),
         );
         let node = Arc::clone(&parts.node);
-        let state = ControlState::new(
-            handle,
-            parts.node,
-            parts.incarnation,
-            parts.regions,
-            parts.limits,
-        );
+        let state =
+            ControlState::new(handle, parts.node, parts.incarnation, parts.regions, parts.limits);
         Ok(Self {
             state,
             node,
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -262,12 +262,12 @@
     fn rank(&self, ask: &PlacementAsk, now: MonotonicTime) -> usize {
         let age = now.saturating_sub(ask.arrived);
         let own = self.waiting.iter().map(|waiting| &waiting.request.ask);
-        let own = own.filter(|other| {
-            other.arrived < ask.arrived && other.size.prompt <= ask.size.prompt
-        });
-        let peers = self.board.peer_waits(now).filter(|(_, prompt, waited)| {
-            *waited > age && *prompt <= ask.size.prompt
-        });
+        let own =
+            own.filter(|other| other.arrived < ask.arrived && other.size.prompt <= ask.size.prompt);
+        let peers = self
+            .board
+            .peer_waits(now)
+            .filter(|(_, prompt, waited)| *waited > age && *prompt <= ask.size.prompt);
         own.count() + peers.count()
     }
 
@@ -293,9 +293,8 @@
     }
 
     fn grant(&mut self, waiting: WaitingRequest, plan: PlacementPlan, now: MonotonicTime) {
-        let address_of = |endpoint: &EndpointId| {
-            self.board.endpoint(endpoint).map(|state| state.entry.address)
-        };
+        let address_of =
+            |endpoint: &EndpointId| self.board.endpoint(endpoint).map(|state| state.entry.address);
         let helpers = plan.helpers.iter().map(|part| {
             Some(HelperGrant {
                 endpoint: Arc::clone(&part.endpoint),
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -396,7 +396,7 @@
         if !self.may_run_again() || self.runs + 1 >= self.call.route.attempts {
             return None;
         }
-        Some(self.call.route.target_latency.max(expected) * 2 + MIN_PATIENCE)
+        Some(self.call.route.target_latency.max(expected * 2) * 2 + MIN_PATIENCE)
     }
 
     // Failing
@@ -468,11 +468,7 @@
         }
     }
 
-    fn write_whole(
-        &mut self,
-        mut head: ResponseHead,
-        body: Bytes,
-    ) -> Result<(), ConnectionError> {
+    fn write_whole(&mut self, mut head: ResponseHead, body: Bytes) -> Result<(), ConnectionError> {
         hop_free(&mut head.headers);
         self.note_stop();
         self.connection.answer(&head, body)
--- a/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -29,8 +29,7 @@
 
     /// Takes the next whole event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let start =
-            self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
+        let start = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
         let bytes = self.buffer.split_to(start + EVENT_END.len()).freeze();
         let number = bytes.split(|byte| *byte == b'\n').find_map(read_number);
         Some(StreamEvent { bytes, number })
--- a/crates/apricotknot/src/store/mod.rs
+++ b/crates/apricotknot/src/store/mod.rs
@@ -12,12 +12,12 @@
 pub use apricotknot_gateway::store::KeyRange;
 pub use apricotknot_gateway::store::LeaseId;
 pub use apricotknot_gateway::store::StoreEntry;
+pub use apricotknot_gateway::store::StoreError;
+pub use apricotknot_gateway::store::StoreErrorKind;
 pub use apricotknot_gateway::store::SwapOutcome;
 pub use apricotknot_gateway::store::SwapRequest;
 pub use apricotknot_gateway::store::WatchBatch;
 pub use apricotknot_gateway::store::WatchEvent;
-pub use apricotknot_gateway::store::StoreError;
-pub use apricotknot_gateway::store::StoreErrorKind;
 pub use apricotknot_gateway::store::WriteCertainty;
 
 pub use budget::CallBudget;
