standin: the users' platform, and the gateway's end-to-end test over processes

Stand-ins of the key-value service and of endpoints follow the published protocol; 14 tests run the real program: streams that go on elsewhere, calls that run once, revoked keys, a store that is down or has forgotten, leaving endpoints, planned stops, prompts held by two engines.

--- a/crates/apricotknot-standin/src/lib.rs
+++ b/crates/apricotknot-standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key_value;
 pub mod load;
 pub mod plain;
+pub mod users_platform;
 pub mod vm_list;
 
 pub use host::StandinError;
--- /dev/null
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -0,0 +1,231 @@
+//! The interface of the stand-in key-value service.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use super::metadata_state::MetadataState;
+use super::metadata_state::StoredChange;
+use super::metadata_state::StoredItem;
+use crate::host::HttpCall;
+use crate::host::HttpHandler;
+use crate::host::HttpReply;
+use crate::host::StandinError;
+use crate::host::StandinServer;
+
+/// Time between two looks for changes that a call waits for.
+const WATCH_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Most items in one answer, small enough that pages are met in tests.
+const PAGE_ITEMS: usize = 3;
+
+/// Runs a stand-in key-value service until it is dropped.
+#[derive(Debug)]
+pub struct MetadataServer {
+    server: StandinServer,
+    state: Arc<Mutex<MetadataState>>,
+    is_down: Arc<AtomicBool>,
+}
+
+impl MetadataServer {
+    /// Starts an empty service on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the thread cannot be started.
+    pub fn start(address: SocketAddr) -> Result<Self, StandinError> {
+        let state = Arc::new(Mutex::new(MetadataState::default()));
+        let is_down = Arc::new(AtomicBool::new(false));
+        let (own_state, own_down) = (Arc::clone(&state), Arc::clone(&is_down));
+        let server = StandinServer::start(address, |_| {
+            Rc::new(MetadataHandler { state: own_state, is_down: own_down })
+        })?;
+        Ok(Self { server, state, is_down })
+    }
+
+    // Commands.
+
+    /// Writes a key as an operator or an endpoint does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.lock().change(vec![(key.to_owned(), Some((value.to_string().into_bytes(), 0)))]);
+    }
+
+    /// Writes bytes that are no JSON.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.lock().change(vec![(key.to_owned(), Some((value.to_vec(), 0)))]);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.lock().change(vec![(key.to_owned(), None)]);
+    }
+
+    /// Forgets all changes so far, so that waiting calls have to read anew.
+    pub fn forget_history(&self) {
+        self.lock().forget();
+    }
+
+    /// Refuses all calls, or serves again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+    }
+
+    // Queries.
+
+    /// Returns the address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MetadataState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct MetadataHandler {
+    state: Arc<Mutex<MetadataState>>,
+    is_down: Arc<AtomicBool>,
+}
+
+impl HttpHandler for MetadataHandler {
+    async fn handle(self: Rc<Self>, call: HttpCall) -> HttpReply {
+        if self.is_down.load(Ordering::SeqCst) {
+            return HttpReply::json(503, &json!({}));
+        }
+        self.lock().expire();
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/kv-range") => self.range(&call),
+            ("GET", "/kv-watch") => self.watch(&call).await,
+            ("POST", "/kv-txn") => self.transact(&call.json()),
+            ("POST", "/kv-lease") => self.grant(&call.json()),
+            ("POST", path) => match path.strip_prefix("/kv-keep/").map(str::parse) {
+                Some(Ok(lease)) if self.lock().keep(lease) => HttpReply::json(200, &json!({})),
+                _ => HttpReply::json(404, &json!({})),
+            },
+            _ => HttpReply::json(404, &json!({})),
+        }
+    }
+
+    fn crash(self: Rc<Self>) {}
+}
+
+impl MetadataHandler {
+    fn lock(&self) -> MutexGuard<'_, MetadataState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn range(&self, call: &HttpCall) -> HttpReply {
+        let prefix = text(call, "prefix");
+        let after = text(call, "after");
+        let state = self.lock();
+        let all = state.items.iter();
+        let mut found: Vec<Value> = all
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+            .map(|(key, item)| item_json(key, item))
+            .take(PAGE_ITEMS + 1)
+            .collect();
+        let is_truncated = found.len() > PAGE_ITEMS;
+        found.truncate(PAGE_ITEMS);
+        let revision = state.revision;
+        let body = json!({"items": found, "truncated": is_truncated, "storeRevision": revision});
+        HttpReply::json(200, &body)
+    }
+
+    async fn watch(&self, call: &HttpCall) -> HttpReply {
+        let prefix = text(call, "prefix");
+        let after: u64 = text(call, "after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(text(call, "waitMs").parse().unwrap_or(0));
+        let end = Instant::now() + wait;
+        loop {
+            if self.is_down.load(Ordering::SeqCst) {
+                return HttpReply::Disconnect;
+            }
+            let (events, revision) = {
+                let mut state = self.lock();
+                state.expire();
+                if after < state.forgotten {
+                    return HttpReply::json(410, &json!({}));
+                }
+                let new = state.history.iter();
+                let new =
+                    new.filter(|change| change.revision > after && change.key.starts_with(&prefix));
+                (new.map(change_json).collect::<Vec<_>>(), state.revision)
+            };
+            if !events.is_empty() || Instant::now() >= end {
+                return HttpReply::json(200, &json!({"events": events, "storeRevision": revision}));
+            }
+            actix_rt::time::sleep(WATCH_INTERVAL).await;
+        }
+    }
+
+    fn transact(&self, body: &Value) -> HttpReply {
+        let mut state = self.lock();
+        let expected = body["expected"].as_array().cloned().unwrap_or_default();
+        let is_met = expected.iter().all(|row| {
+            let key = row["key"].as_str().unwrap_or_default();
+            state.items.get(key).map_or(0, |item| item.revision) == row["revision"]
+        });
+        if !is_met {
+            let keys = expected.iter().filter_map(|row| row["key"].as_str());
+            let items: Vec<Value> = keys
+                .filter_map(|key| state.items.get(key).map(|item| item_json(key, item)))
+                .collect();
+            return HttpReply::json(412, &json!({"items": items}));
+        }
+        let puts = body["puts"].as_array().cloned().unwrap_or_default();
+        let changes = puts.iter().map(|put| {
+            let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
+            let lease = put["lease"].as_i64().unwrap_or(0);
+            let key = put["key"].as_str().unwrap_or_default().to_owned();
+            (key, Some((value.unwrap_or_default(), lease)))
+        });
+        let changes = changes.collect();
+        let revision = state.change(changes);
+        HttpReply::json(200, &json!({"revision": revision}))
+    }
+
+    fn grant(&self, body: &Value) -> HttpReply {
+        let ttl = body["ttlMs"].as_u64().unwrap_or(1_000);
+        let lease = self.lock().grant(Duration::from_millis(ttl));
+        HttpReply::json(200, &json!({"lease": lease, "ttlMs": ttl}))
+    }
+}
+
+fn item_json(key: &str, item: &StoredItem) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&item.value),
+        "revision": item.revision,
+        "createdRev": item.created,
+        "lease": item.lease,
+    })
+}
+
+fn change_json(change: &StoredChange) -> Value {
+    match &change.item {
+        Some(item) => item_json(&change.key, item),
+        None => json!({"key": change.key, "revision": change.revision, "tombstone": true}),
+    }
+}
+
+fn text(call: &HttpCall, name: &str) -> String {
+    call.parameter(name).unwrap_or_default().replace("%2F", "/")
+}
--- /dev/null
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -0,0 +1,107 @@
+//! Keys, revisions and leases of the stand-in key-value service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Holds one key.
+#[derive(Clone, Debug)]
+pub(super) struct StoredItem {
+    pub(super) value: Vec<u8>,
+    pub(super) revision: u64,
+    pub(super) created: u64,
+    pub(super) lease: i64,
+}
+
+/// Holds one change; without an item the key was removed.
+#[derive(Clone, Debug)]
+pub(super) struct StoredChange {
+    pub(super) key: String,
+    pub(super) revision: u64,
+    pub(super) item: Option<StoredItem>,
+}
+
+/// Holds all that the service knows.
+#[derive(Debug)]
+pub(super) struct MetadataState {
+    pub(super) items: BTreeMap<String, StoredItem>,
+    pub(super) history: Vec<StoredChange>,
+    /// Changes up to this revision are no longer known.
+    pub(super) forgotten: u64,
+    pub(super) revision: u64,
+    leases: BTreeMap<i64, (Duration, Instant)>,
+    next_lease: i64,
+}
+
+impl Default for MetadataState {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            revision: 1,
+            leases: BTreeMap::new(),
+            next_lease: 1,
+        }
+    }
+}
+
+impl MetadataState {
+    /// Writes or removes keys in one change of the revision; returns the revision.
+    pub(super) fn change(&mut self, changes: Vec<(String, Option<(Vec<u8>, i64)>)>) -> u64 {
+        self.revision += 1;
+        let revision = self.revision;
+        for (key, value) in changes {
+            let created = self.items.get(&key).map_or(revision, |item| item.created);
+            let item = value.map(|(value, lease)| StoredItem { value, revision, created, lease });
+            match &item {
+                Some(item) => _ = self.items.insert(key.clone(), item.clone()),
+                None => _ = self.items.remove(&key),
+            }
+            self.history.push(StoredChange { key, revision, item });
+        }
+        revision
+    }
+
+    /// Forgets all changes so far.
+    pub(super) fn forget(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
+    }
+
+    /// Grants a lease.
+    pub(super) fn grant(&mut self, ttl: Duration) -> i64 {
+        let lease = self.next_lease;
+        self.next_lease += 1;
+        self.leases.insert(lease, (ttl, Instant::now() + ttl));
+        lease
+    }
+
+    /// Extends a lease; returns whether it had not ended.
+    pub(super) fn keep(&mut self, lease: i64) -> bool {
+        let Some((ttl, end)) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        *end = Instant::now() + *ttl;
+        true
+    }
+
+    /// Ends the leases that have run out; returns whether keys were removed.
+    pub(super) fn expire(&mut self) -> bool {
+        let now = Instant::now();
+        let over: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, end))| *end <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        self.leases.retain(|_, (_, end)| *end > now);
+        let keys = self.items.iter().filter(|(_, item)| over.contains(&item.lease));
+        let removed: Vec<_> = keys.map(|(key, _)| (key.clone(), None)).collect();
+        let is_changed = !removed.is_empty();
+        if is_changed {
+            self.change(removed);
+        }
+        is_changed
+    }
+}
--- /dev/null
+++ b/crates/apricotknot-standin/src/users_platform/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the users' platform: its key-value service, and endpoints that speak its headers.
+
+mod endpoint;
+mod metadata;
+mod metadata_state;
+
+pub use endpoint::EndpointServer;
+pub use endpoint::EndpointTrouble;
+pub use endpoint::RunRecord;
+pub use metadata::MetadataServer;
--- /dev/null
+++ b/crates/apricotknot/tests/gateway.rs
@@ -0,0 +1,247 @@
+//! The gateway as processes, before a stand-in of the users' platform.
+
+#[path = "support/gateway_fleet.rs"]
+mod gateway_fleet;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::Duration;
+
+use apricotknot_standin::users_platform::EndpointServer;
+use apricotknot_standin::users_platform::EndpointTrouble;
+use gateway_fleet::Fleet;
+use gateway_fleet::lookup_request;
+use gateway_fleet::order_request;
+use gateway_fleet::read_answer;
+use gateway_fleet::stream_request;
+use gateway_fleet::wait_until;
+
+fn whole_stream() -> String {
+    let events = 0..EndpointServer::event_count();
+    events.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+#[test]
+fn calls_are_served_by_each_node() {
+    let fleet = Fleet::start("serve", 3);
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        let stream = node.send(&stream_request(&format!("stream-{index}"), 1_000));
+        assert_eq!((stream.status, stream.is_whole), (200, true), "{stream:?}");
+        assert_eq!(stream.body, whole_stream());
+        assert!(stream.head.contains("response-seal: sealed"), "{stream:?}");
+        let order = node.send(&order_request(&format!("order-{index}")));
+        assert_eq!((order.status, order.body.as_str()), (200, "whole answer"));
+        let lookup = node.send(&lookup_request(&format!("lookup-{index}")));
+        assert_eq!(lookup.status, 200);
+    }
+    let runs = fleet.desk.runs();
+    assert_eq!(runs.len(), 6);
+    for run in &runs {
+        assert_eq!(run.account.as_deref(), Some("office"), "a forged account is replaced");
+        assert_eq!(run.key, None, "the key stays in the node");
+        assert!(run.time_left > 0 && run.time_left <= 8_000);
+    }
+    assert!(runs.iter().any(|run| run.target == "/lookup/x?y=1"));
+    assert!(runs.iter().any(|run| &run.body[..] == b"order"));
+}
+
+#[test]
+fn unknown_routes_and_keys_are_refused() {
+    let fleet = Fleet::start("refuse", 1);
+    let node = &fleet.nodes[0];
+    let lost = node.send("GET /none/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: a\r\n\r\n");
+    assert_eq!(lost.status, 404);
+    let strange = lookup_request("b").replace(gateway_fleet::KEY, "another");
+    assert_eq!(node.send(&strange).status, 401);
+    let nameless = "GET /lookup/x HTTP/1.1\r\nhost: shop.example\r\n\r\n";
+    assert_eq!(node.send(nameless).status, 400);
+    let long = lookup_request("c")
+        .replace("request-id", &format!("x: {}\r\nrequest-id", "y".repeat(5_000)));
+    assert_eq!(node.send(&long).status, 431);
+    let large = format!(
+        "POST /order/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: d\r\ncontent-length: 99999\r\n\r\n"
+    );
+    assert_eq!(node.send(&large).status, 413);
+    assert!(fleet.desk.runs().is_empty());
+}
+
+#[test]
+fn a_stream_goes_on_at_another_engine() {
+    let fleet = Fleet::start("resume", 1);
+    fleet.engines[0].set_trouble(EndpointTrouble::CutAfter(2));
+    fleet.engines[1].set_trouble(EndpointTrouble::CutAfter(2));
+    let cut = fleet.nodes[0].send(&stream_request("cut", 1_000));
+    assert!(!cut.is_whole, "an answer that ends early must not look complete: {cut:?}");
+    fleet.engines[1].set_trouble(EndpointTrouble::None);
+    fleet.engines[0].set_trouble(EndpointTrouble::None);
+    let victim = usize::from(fleet.engines[0].runs().is_empty());
+    fleet.engines[victim].set_trouble(EndpointTrouble::CutAfter(3));
+    wait_until("a stream is cut and goes on", || {
+        let resumed = fleet.nodes[0].send(&stream_request("resumed", 1_000));
+        assert_eq!((resumed.status, resumed.is_whole), (200, true), "{resumed:?}");
+        assert_eq!(resumed.body, whole_stream());
+        fleet.engines[1 - victim].runs().iter().any(|run| run.last_event == Some(2))
+    });
+}
+
+#[test]
+fn a_call_that_may_run_once_is_sent_once() {
+    let fleet = Fleet::start("once", 1);
+    let node = &fleet.nodes[0];
+    fleet.desk.set_trouble(EndpointTrouble::LostAnswer);
+    let lost = node.send(&order_request("lost"));
+    assert_eq!(lost.status, 502, "a call that may have run is not said to be not run");
+    assert!(lost.body.contains("\"executed\":\"unknown\""));
+    assert_eq!(fleet.desk.runs().len(), 1);
+    fleet.desk.set_trouble(EndpointTrouble::Crossed);
+    wait_until("the desk is tried again", || node.send(&order_request("crossed")).status == 502);
+    fleet.desk.set_trouble(EndpointTrouble::Full);
+    let before = fleet.desk.runs().len();
+    wait_until("the desk says that it is full", || {
+        let full = node.send(&order_request("full"));
+        full.status == 503 && full.head.contains("retry-after: ")
+    });
+    assert_eq!(fleet.desk.runs().len(), before);
+}
+
+#[test]
+fn a_lookup_is_tried_again_and_a_failure_is_passed_on() {
+    let fleet = Fleet::start("again", 1);
+    fleet.desk.set_trouble(EndpointTrouble::Failing);
+    let failed = fleet.nodes[0].send(&lookup_request("failed"));
+    assert_eq!(failed.status, 500);
+    assert!(failed.head.contains("response-seal"), "the endpoint's own failure: {failed:?}");
+}
+
+#[test]
+fn a_long_prompt_is_read_by_both_engines() {
+    let fleet = Fleet::start("share", 1);
+    let long = fleet.nodes[0].send(&stream_request("long", 60_000));
+    assert_eq!((long.status, long.is_whole), (200, true));
+    let runs: Vec<_> = fleet.engines.iter().flat_map(EndpointServer::runs).collect();
+    assert_eq!(runs.len(), 1);
+    let helpers = runs[0].helpers.clone().expect("a helper is named");
+    let addresses: Vec<_> =
+        fleet.engines.iter().map(|engine| engine.address().to_string()).collect();
+    assert!(addresses.contains(&helpers), "{helpers} reads, and holds nothing");
+}
+
+#[test]
+fn a_prompt_larger_than_one_engine_is_held_by_two() {
+    let fleet = Fleet::start("hold", 1);
+    for engine in &fleet.engines {
+        engine.set_event_pause(Duration::from_millis(150));
+    }
+    let huge = fleet.nodes[0].send(&stream_request("huge", 150_000));
+    assert_eq!((huge.status, huge.is_whole), (200, true), "{huge:?}");
+    let runs: Vec<_> = fleet.engines.iter().flat_map(EndpointServer::runs).collect();
+    assert!(runs[0].helpers.as_deref().is_some_and(|helpers| helpers.contains('/')));
+    wait_until("the memory is free again", || {
+        fleet.engines.iter().map(EndpointServer::reserved).sum::<u64>() == 0
+            && fleet.engines.iter().map(EndpointServer::released).sum::<usize>() > 0
+    });
+    let refused = fleet.nodes[0].send(&stream_request("too-large", 900_000));
+    assert_eq!(refused.status, 503, "what the fleet cannot hold is refused at once");
+    assert!(refused.body.contains("\"executed\":\"no\""));
+}
+
+#[test]
+fn a_key_that_is_taken_away_is_refused_by_all_nodes() {
+    let mut fleet = Fleet::start("revoke", 2);
+    fleet.configure(&["key-two"]);
+    for node in &fleet.nodes {
+        wait_until("the key is refused", || node.send(&lookup_request("revoked")).status == 401);
+    }
+}
+
+#[test]
+fn a_node_without_the_store_serves_no_key_for_long() {
+    let fleet = Fleet::start("blind", 1);
+    fleet.store.set_down(true);
+    wait_until("the node is not ready", || !fleet.nodes[0].is_ready());
+    let blind = fleet.nodes[0].send(&lookup_request("blind"));
+    assert_eq!(blind.status, 503);
+    assert!(blind.head.contains("retry-after: "));
+    fleet.store.set_down(false);
+    wait_until("the node is ready again", || fleet.nodes[0].is_ready());
+    assert_eq!(fleet.nodes[0].send(&lookup_request("seeing")).status, 200);
+}
+
+#[test]
+fn a_node_reads_anew_when_history_is_gone() {
+    let mut fleet = Fleet::start("compact", 1);
+    fleet.store.forget_history();
+    fleet.configure(&["key-two"]);
+    fleet.store.forget_history();
+    wait_until("the new keys are in force", || {
+        fleet.nodes[0].send(&lookup_request("compact")).status == 401
+    });
+}
+
+#[test]
+fn leaving_endpoints_and_emptied_data_centres_get_nothing() {
+    let fleet = Fleet::start("leave", 1);
+    let node = &fleet.nodes[0];
+    fleet.announce("engine-1", "model", &fleet.engines[0], "draining");
+    fleet.store.put_bytes("servers/strange", b"no entry at all");
+    wait_until("the first engine gets nothing", || {
+        let before = fleet.engines[0].runs().len();
+        for index in 0..4 {
+            assert_eq!(node.send(&stream_request(&format!("leave-{index}"), 1_000)).status, 200);
+        }
+        fleet.engines[0].runs().len() == before
+    });
+    fleet.store.put("op/evacuate/north", &serde_json::json!({}));
+    wait_until("the data centre gets nothing", || {
+        node.send(&stream_request("emptied", 1_000)).status == 503
+    });
+    fleet.store.remove("op/evacuate/north");
+    wait_until("the data centre is back", || {
+        node.send(&stream_request("back", 1_000)).status == 200
+    });
+}
+
+#[test]
+fn a_planned_stop_cuts_no_stream() {
+    let mut fleet = Fleet::start("stop", 1);
+    for engine in &fleet.engines {
+        engine.set_event_pause(Duration::from_millis(300));
+    }
+    let mut stream = TcpStream::connect(fleet.nodes[0].callers).expect("a connection");
+    stream.write_all(stream_request("slow", 1_000).as_bytes()).expect("a request");
+    sleep(Duration::from_millis(400));
+    fleet.nodes[0].signal("-HUP");
+    fleet.nodes[0].signal("-TERM");
+    let slow = read_answer(&mut stream);
+    assert_eq!((slow.status, slow.is_whole), (200, true), "{slow:?}");
+    assert_eq!(slow.body, whole_stream());
+    assert_eq!(fleet.nodes[0].wait_end(), Some(0));
+}
+
+#[test]
+fn the_log_tells_the_way_of_a_request() {
+    let fleet = Fleet::start("log", 1);
+    assert_eq!(fleet.nodes[0].send(&stream_request("told", 1_000)).status, 200);
+    wait_until("both lines are written", || {
+        let lines = fleet.nodes[0].log_lines();
+        let of = |message: &str| {
+            lines.iter().find(|line| line["msg"] == message && line["request"] == "told").cloned()
+        };
+        let (Some(placed), Some(over)) = (of("call: placed"), of("call: over")) else {
+            return false;
+        };
+        assert_eq!(placed["version"], fleet.version);
+        assert!(placed["knowledge_ms"].is_u64());
+        assert_eq!((&over["outcome"], &over["executed"]), (&"answered".into(), &"yes".into()));
+        assert_eq!(over["endpoint"], placed["endpoint"]);
+        true
+    });
+}
+
+#[test]
+fn nodes_find_one_another() {
+    let fleet = Fleet::start("find", 3);
+    wait_until("all nodes are announced", || fleet.store.keys("apricotknot/nodes/").len() == 3);
+    assert_eq!(fleet.store.keys("apricotknot/peer-secret").len(), 1);
+}
--- /dev/null
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -0,0 +1,304 @@
+//! Gateway nodes as processes, before a stand-in platform.
+
+use std::fs::File;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use apricotknot_standin::users_platform::EndpointServer;
+use apricotknot_standin::users_platform::MetadataServer;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest wait for anything that has to happen.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// Key of the only account.
+pub(crate) const KEY: &str = "key-one";
+
+/// One answer, read to its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    /// Body without the framing of chunks.
+    pub(crate) body: String,
+    pub(crate) is_whole: bool,
+}
+
+/// A gateway process.
+pub(crate) struct Node {
+    child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operations: SocketAddr,
+    pub(crate) log: PathBuf,
+}
+
+/// Nodes, endpoints and the key-value service.
+pub(crate) struct Fleet {
+    pub(crate) store: MetadataServer,
+    pub(crate) engines: Vec<EndpointServer>,
+    pub(crate) desk: EndpointServer,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) version: u64,
+}
+
+impl Fleet {
+    /// Starts `nodes` nodes before two engines and one plain endpoint.
+    pub(crate) fn start(name: &str, nodes: usize) -> Self {
+        let store = MetadataServer::start(free_address()).expect("the store starts");
+        let engine = |id| EndpointServer::start(id, free_address()).expect("an engine starts");
+        let engines = vec![engine("engine-1"), engine("engine-2")];
+        let desk = EndpointServer::start("desk-1", free_address()).expect("the desk starts");
+        let mut fleet = Self { store, engines, desk, nodes: Vec::new(), version: 7 };
+        fleet.announce_all();
+        fleet.configure(&[KEY]);
+        fleet.nodes = (0..nodes).map(|index| fleet.start_node(name, index)).collect();
+        for node in &fleet.nodes {
+            wait_until("a node is ready", || node.is_ready());
+        }
+        fleet
+    }
+
+    /// Announces all endpoints as ready.
+    pub(crate) fn announce_all(&self) {
+        for (index, engine) in self.engines.iter().enumerate() {
+            self.announce(&format!("engine-{}", index + 1), "model", engine, "ready");
+        }
+        self.announce("desk-1", "desk", &self.desk, "ready");
+    }
+
+    /// Announces one endpoint.
+    pub(crate) fn announce(&self, id: &str, service: &str, server: &EndpointServer, state: &str) {
+        let entry = json!({
+            "service": service, "addr": server.address().to_string(), "zone": "north",
+            "slots": 4, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1,
+        });
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Puts a new version of the configuration in force, with these keys.
+    pub(crate) fn configure(&mut self, keys: &[&str]) {
+        self.version += 3;
+        let configuration = configuration(self.version, keys);
+        self.store.put("op/config", &configuration);
+    }
+
+    fn start_node(&self, name: &str, index: usize) -> Node {
+        let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a directory for the node");
+        let (callers, operations) = (free_address(), free_address());
+        let settings = dir.join("gateway.ini");
+        let text = format!(
+            "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
+             callers = {callers}\noperations = {operations}\nnews = {}\nrevoke_ms = 3000\n\
+             stop_s = 8\n\n[store]\naddress = {}\n\n[data_centres]\nnorth = here\n\n\
+             [log]\nformat = json\n",
+            free_address(),
+            self.store.address()
+        );
+        std::fs::write(&settings, text).expect("the settings are written");
+        let log = dir.join("log.jsonl");
+        let output = File::create(&log).expect("the log is made");
+        let child = Command::new(env!("CARGO_BIN_EXE_apricotknot"))
+            .arg("gateway")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the node starts");
+        Node { child, callers, operations, log }
+    }
+}
+
+impl Node {
+    /// Sends a request of a caller and reads the answer.
+    pub(crate) fn send(&self, request: &str) -> Answer {
+        exchange(self.callers, request)
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let answer = exchange(self.operations, "GET /readyz HTTP/1.1\r\nhost: node\r\n\r\n");
+        answer.status == 200
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args([signal, &pid]).status();
+    }
+
+    /// Waits until the process has ended, and returns its code.
+    pub(crate) fn wait_end(&mut self) -> Option<i32> {
+        let mut code = None;
+        wait_until("the node ends", || {
+            code = self.child.try_wait().ok().flatten();
+            code.is_some()
+        });
+        code.and_then(|status| status.code())
+    }
+
+    /// Returns the lines of the log.
+    pub(crate) fn log_lines(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the text of a request for a stream.
+pub(crate) fn stream_request(id: &str, prompt: u64) -> String {
+    request(id, "POST", "/model/x", &format!("token-count: {prompt},300\r\n"), "prompt")
+}
+
+/// Returns the text of a request for a call that may run once.
+pub(crate) fn order_request(id: &str) -> String {
+    request(id, "POST", "/order/x", "tenant: forged\r\n", "order")
+}
+
+/// Returns the text of a request for a call that may run again.
+pub(crate) fn lookup_request(id: &str) -> String {
+    request(id, "GET", "/lookup/x?y=1", "", "")
+}
+
+fn request(id: &str, method: &str, target: &str, more: &str, body: &str) -> String {
+    let length = match body.len() {
+        0 => String::new(),
+        length => format!("content-length: {length}\r\n"),
+    };
+    format!(
+        "{method} {target} HTTP/1.1\r\nhost: shop.example\r\nrequest-id: {id}\r\n\
+         request-deadline: 8000\r\nx-api-key: {KEY}\r\n{more}{length}\r\n{body}"
+    )
+}
+
+/// Sends bytes on a new connection and reads one answer.
+pub(crate) fn exchange(address: SocketAddr, request: &str) -> Answer {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return Answer::default();
+    };
+    stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a read timeout");
+    if stream.write_all(request.as_bytes()).is_err() {
+        return Answer::default();
+    }
+    read_answer(&mut stream)
+}
+
+/// Reads one answer.
+pub(crate) fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4_096];
+    loop {
+        if let Some(answer) = parse_answer(&bytes)
+            && answer.is_whole
+        {
+            return answer;
+        }
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return parse_answer(&bytes).unwrap_or_default(),
+            Ok(count) => bytes.extend_from_slice(&part[..count]),
+        }
+    }
+}
+
+fn parse_answer(bytes: &[u8]) -> Option<Answer> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let head = head.to_ascii_lowercase();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let (body, is_whole) = if head.contains("transfer-encoding: chunked") {
+        join_chunks(rest)
+    } else {
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+        (rest.to_owned(), rest.len() >= length)
+    };
+    Some(Answer { status, head, body, is_whole })
+}
+
+fn join_chunks(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            return (body, false);
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        if after.len() < size + 2 {
+            return (body, false);
+        }
+        body.push_str(&after[..size]);
+        rest = &after[size + 2..];
+    }
+    (body, false)
+}
+
+/// Waits until `is_met`, and fails the test after a long time.
+pub(crate) fn wait_until(what: &str, mut is_met: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !is_met() {
+        assert!(Instant::now() < end, "not seen in time: {what}");
+        sleep(LOOK_PAUSE);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+fn configuration(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "shop.example", "prefix": prefix, "routeType": kind,
+            "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 1, "service": service,
+            "attempts": attempts, "public": false, "resumable": kind == "streaming",
+            "gapAimMs": 1000,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "/model/", "streaming", "model", 2),
+            route("order", "/order/", "non_idempotent", "desk", 1),
+            route("lookup", "/lookup/", "idempotent", "desk", 2),
+        ],
+        "services": [
+            {
+                "name": "model", "coldStartS": 3.0, "coldPerS": 26.0,
+                "engine": {
+                    "slots": 4, "kvCapacity": 100_000, "stride": 43, "step_ms": 1.0,
+                    "per_seq_ms": 0.002, "context_per_k": 0.004, "read_per_s": 206_000.0,
+                    "pairs_per_m": 0.138,
+                },
+            },
+            {"name": "desk", "coldStartS": 0.0, "coldPerS": 0.0},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "office", "apiKeys": keys}],
+    })
+}
