--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -14,6 +14,7 @@
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
 use super::fleet_board::EndpointState;
+use super::sharing::MAX_SHARES;
 use super::sharing::SharePlan;
 use super::sharing::ShareSeat;
 use super::sharing::best_plan;
@@ -132,6 +133,7 @@
             return PlacementVerdict::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
         }
     }
+    let seat_count = eligible.len();
     let loads = sum_loads(board, now);
     let open = eligible
         .into_iter()
@@ -144,7 +146,7 @@
         Some(engine) => best_plan(engine, seats.collect(), ask, now),
         None => best_plain(seats.collect()),
     };
-    settle(plan, engine, ask, rank, now)
+    settle(plan, engine, ask, seat_count, rank, now)
 }
 
 /// Returns the value of a request with `prompt` tokens.
@@ -206,6 +208,7 @@
     plan: Option<SharePlan>,
     engine: Option<&EngineModel>,
     ask: &PlacementAsk,
+    seat_count: usize,
     rank: usize,
     now: MonotonicTime,
 ) -> PlacementVerdict {
@@ -218,13 +221,22 @@
         return wait_or_refuse(is_over);
     }
     let may_wait = is_long && !is_over;
-    let can_be_timely = now < ask.arrived + ask.target_latency.mul_f64(TIMELY_SHARE);
+    let can_be_timely = now + fastest(engine, ask, seat_count)
+        <= ask.arrived + ask.target_latency.mul_f64(TIMELY_SHARE);
     if may_wait && (rank > 0 || (!found.is_timely && can_be_timely)) {
         return PlacementVerdict::Wait;
     }
     PlacementVerdict::Send(found.plan)
 }
 
+/// Returns the time until an answer begins if all endpoints were free to read the prompt.
+fn fastest(engine: Option<&EngineModel>, ask: &PlacementAsk, seat_count: usize) -> Duration {
+    let parts = u32::try_from(seat_count.clamp(1, MAX_SHARES)).unwrap_or(1);
+    let read = engine.map(|engine| engine.read_time(ask.size.prompt) / parts);
+    let pass = engine.map(|engine| engine.pass_time(1, ask.size.prompt));
+    read.unwrap_or_default() + pass.unwrap_or_default()
+}
+
 fn wait_or_refuse(is_over: bool) -> PlacementVerdict {
     match is_over {
         true => PlacementVerdict::Refuse { reason: "no room", retry_after: FULL_RETRY },
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -15,8 +15,11 @@
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
 
+/// Most endpoints that read one prompt: the one that runs it and 16 helpers.
+pub(super) const MAX_SHARES: usize = 17;
+
 /// Numbers of endpoints that are weighed for one prompt.
-const SHARE_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, 17];
+const SHARE_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MAX_SHARES];
 
 /// Shortest part of a prompt that is worth another endpoint.
 const MIN_PART: Duration = Duration::from_millis(40);
--- /dev/null
+++ b/crates/apricotknot-core/tests/routing.rs
@@ -0,0 +1,94 @@
+//! Routes, keys and shares of services.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricotknot_core::routing::CallKind;
+use apricotknot_core::routing::KeyTable;
+use apricotknot_core::routing::RouteSpec;
+use apricotknot_core::routing::RouteTable;
+use apricotknot_core::routing::WeightedTarget;
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        targets: vec![WeightedTarget { service: "one".into(), weight: 1 }],
+        kind: CallKind::Idempotent,
+        attempts: 2,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(300),
+        pause_limit: None,
+        priority: 1,
+        is_public: false,
+        is_resumable: false,
+        regions: Vec::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_takes_a_request() {
+    let table = RouteTable::new([
+        route("all", "a.example", "/"),
+        route("part", "a.example", "/part/"),
+        route("deep", "a.example", "/part/deep/"),
+        route("other", "b.example", "/part/"),
+    ]);
+    let name = |host, path| table.find(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("a.example", "/part/deep/x").as_deref(), Some("deep"));
+    assert_eq!(name("a.example", "/part/deep").as_deref(), Some("part"));
+    assert_eq!(name("A.Example", "/partly/x").as_deref(), Some("all"));
+    assert_eq!(name("b.example", "/part/deep/x").as_deref(), Some("other"));
+    assert_eq!(name("b.example", "/x"), None);
+    assert_eq!(name("c.example", "/"), None);
+}
+
+#[test]
+fn longest_prefixes_agree_with_a_plain_search() {
+    arbtest::arbtest(|source| {
+        let parts = ["", "a/", "b/", "a/b/", "a/b/a/", "b/b/"];
+        let mut routes = Vec::new();
+        for _ in 0..source.int_in_range(0..=6)? {
+            let prefix = format!("/{}", source.choose(&parts)?);
+            routes.push(route(&prefix, "h", &prefix));
+        }
+        let path = format!("/{}{}", source.choose(&parts)?, source.choose(&["", "a", "x"])?);
+        let expected = routes
+            .iter()
+            .filter(|route| path.starts_with(&*route.prefix))
+            .max_by_key(|route| route.prefix.len())
+            .map(|route| route.prefix.to_string());
+        let table = RouteTable::new(routes);
+        let found = table.find("h", &path).map(|route| route.prefix.to_string());
+        assert_eq!(found, expected, "{path}");
+        Ok(())
+    });
+}
+
+#[test]
+fn services_get_their_share_of_the_draws() {
+    let mut split = route("split", "h", "/");
+    split.targets = vec![
+        WeightedTarget { service: "nine".into(), weight: 90 },
+        WeightedTarget { service: "none".into(), weight: 0 },
+        WeightedTarget { service: "one".into(), weight: 10 },
+    ];
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for step in 0..1_000_u32 {
+        let service = split.pick_service(step * (u32::MAX / 1_000)).expect("a service");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert!(counts["nine"].abs_diff(900) <= 1, "{counts:?}");
+    assert!(!counts.contains_key("none"));
+    split.targets.clear();
+    assert_eq!(split.pick_service(7), None);
+}
+
+#[test]
+fn keys_lead_to_accounts_and_are_never_printed() {
+    let table = KeyTable::new([("secret".into(), "office".into())]);
+    assert_eq!(table.account("secret").map(|account| &**account), Some("office"));
+    assert_eq!(table.account("Secret"), None);
+    assert!(!format!("{table:?}").contains("secret"));
+}
--- /dev/null
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -0,0 +1,157 @@
+//! Exchanges with endpoints whose answers come in every form.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::thread::JoinHandle;
+use std::thread::spawn;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::RequestHead;
+use actix_http::ServiceConfig;
+use actix_http::Uri;
+use apricotknot_gateway::endpoint::EndpointExchange;
+use apricotknot_gateway::endpoint::EventSplitter;
+use apricotknot_gateway::endpoint::ExchangeError;
+use apricotknot_gateway::endpoint::ExchangeOrder;
+use bytes::Bytes;
+use socket2::SockRef;
+
+/// Says how an endpoint ends its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    Closed,
+    Reset,
+}
+
+/// Answers one connection with `answer`, after it has read `read` bytes of the request.
+fn endpoint(answer: &'static str, read: usize, ending: Ending) -> (ExchangeOrder, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let thread = spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = vec![0; read];
+        stream.read_exact(&mut request).expect("a request");
+        stream.write_all(answer.as_bytes()).expect("an answer");
+        match ending {
+            Ending::Reset => {
+                // Leaves the other side time to read what was sent before the reset.
+                std::thread::sleep(Duration::from_millis(100));
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("no linger");
+            },
+            Ending::Closed => {
+                stream.shutdown(std::net::Shutdown::Write).expect("a half-close");
+                let _ = stream.read_to_end(&mut request);
+            },
+        }
+    });
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = Uri::from_static("/x");
+    let order = ExchangeOrder {
+        address,
+        head,
+        body: Bytes::from_static(b"body"),
+        connect_timeout: Duration::from_secs(1),
+    };
+    (order, thread)
+}
+
+async fn exchange(order: ExchangeOrder) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let mut exchange = EndpointExchange::open(&ServiceConfig::default(), order).await?;
+    let head = exchange.read_head().await?;
+    let mut body = Vec::new();
+    while let Some(part) = exchange.read_part().await? {
+        body.extend_from_slice(&part);
+    }
+    Ok((head.status.as_u16(), body))
+}
+
+async fn answer_of(text: &'static str, ending: Ending) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let (order, thread) = endpoint(text, 10, ending);
+    let result = exchange(order).await;
+    thread.join().expect("the endpoint ends");
+    result
+}
+
+#[actix_rt::test]
+async fn whole_answers_are_read() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", "whole"),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole"),
+        ("HTTP/1.1 200 OK\r\n\r\nwhole", "whole"),
+        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole", "whole"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", ""),
+    ];
+    for (text, body) in cases {
+        let (status, found) = answer_of(text, Ending::Closed).await.expect(text);
+        assert_eq!((status, found.as_slice()), (200, body.as_bytes()), "{text}");
+    }
+}
+
+#[actix_rt::test]
+async fn bytes_after_an_answer_belong_to_nobody() {
+    let text = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nextra";
+    let (_, body) = answer_of(text, Ending::Closed).await.expect("the first answer");
+    assert_eq!(body, b"whole");
+}
+
+#[actix_rt::test]
+async fn answers_that_end_early_are_not_whole() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf", Ending::Closed),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n", Ending::Closed),
+        ("HTTP/1.1 200 OK\r\n\r\nhalf", Ending::Reset),
+        ("HTTP/1.1 200 OK\r\ncontent-le", Ending::Closed),
+        ("no answer at all\r\n\r\n", Ending::Closed),
+    ];
+    for (text, ending) in cases {
+        let error = answer_of(text, ending).await.expect_err(text);
+        assert!(!error.is_unsent(), "{text}: {error}");
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_may_come_before_the_request_is_read() {
+    let text = "HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno";
+    let (mut order, thread) = endpoint(text, 10, Ending::Closed);
+    order.body = Bytes::from(vec![b'x'; 4 * 1_024 * 1_024]);
+    let (status, body) = exchange(order).await.expect("the early answer");
+    thread.join().expect("the endpoint ends");
+    assert_eq!((status, body.as_slice()), (413, &b"no"[..]));
+}
+
+#[actix_rt::test]
+async fn nothing_is_sent_where_nobody_listens() {
+    let (mut order, _) = endpoint("", 0, Ending::Closed);
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    order.address = closed.local_addr().expect("an address");
+    drop(closed);
+    let error = exchange(order).await.expect_err("nobody listens");
+    assert!(error.is_unsent(), "{error}");
+}
+
+#[test]
+fn events_come_whole_however_they_are_cut() {
+    arbtest::arbtest(|source| {
+        let text = "id: 4\ndata: a\n\nversion: 2\nid: 5\ndata: b\n\ndata: c\n\nid: 6\ndata: ha";
+        let mut splitter = EventSplitter::default();
+        let mut rest = text.as_bytes();
+        let mut numbers = Vec::new();
+        let mut bytes = Vec::new();
+        while !rest.is_empty() {
+            let length = source.int_in_range(1..=rest.len())?;
+            splitter.push(&rest[..length]);
+            rest = &rest[length..];
+            while let Some(event) = splitter.next_event() {
+                numbers.push(event.number);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        assert_eq!(numbers, [Some(4), Some(5), None]);
+        assert_eq!(splitter.len(), "id: 6\ndata: ha".len());
+        assert!(text.as_bytes().starts_with(&bytes));
+        Ok(())
+    });
+}
