--- a/crates/apricotctl/tests/node.rs
+++ b/crates/apricotctl/tests/node.rs
@@ -51,7 +51,11 @@
          [store]\naddresses = {store}\n[shutdown]\nunready_wait_ms = 0\n[log]\nlevel = error\n"
     );
     let settings = NodeSettings::parse(Path::new("test.ini"), &text).unwrap();
-    NodeProcess::start(&settings, build_logger(&settings.log, &settings.identity)).unwrap()
+    NodeProcess::start(
+        &settings,
+        build_logger(&settings.log, &settings.identity, std::io::stderr()),
+    )
+    .unwrap()
 }
 
 impl Fleet {
--- a/crates/apricotknot-core/src/routing/route.rs
+++ b/crates/apricotknot-core/src/routing/route.rs
@@ -81,7 +81,7 @@
     /// Picks the service of one request; `draw` is a number drawn evenly from all of `u32`.
     pub fn pick_service(&self, draw: u32) -> Option<&ServiceId> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
-        let mut point = u64::from(draw) * total >> u32::BITS;
+        let mut point = (u64::from(draw) * total) >> u32::BITS;
         for target in &self.targets {
             let weight = u64::from(target.weight);
             if point < weight {
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -19,8 +19,11 @@
 use crate::store::StoreErrorKind;
 use crate::store::WatchEvent;
 
-/// Longest time that one call waits for changes; knowledge is as old as the call that gave it.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest time that one call waits for changes.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Shortest time between two calls, so that changes which come bunched are read together.
+const CALL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Pause after the first failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -105,12 +108,15 @@
     /// Waits for changes after `revision` until history is gone or calls fail.
     async fn follow(&mut self, mut revision: RevisionNumber) {
         while !self.events.is_closed() {
-            let as_of = self.clock.now();
+            let sent = self.clock.now();
             match self.store.changes(ALL_KEYS, revision, WATCH_WAIT).await {
                 Ok(batch) => {
                     self.failures = 0;
                     revision = revision.max(batch.revision);
+                    let took = self.clock.now().saturating_sub(sent);
+                    let as_of = sent + proven_time(batch.events.is_empty(), took);
                     self.tell_changes(&batch.events, as_of).await;
+                    tokio::time::sleep(CALL_INTERVAL.saturating_sub(took)).await;
                 },
                 Err(error) if error.kind() == StoreErrorKind::Compacted => return,
                 Err(error) => {
@@ -173,3 +179,10 @@
         let _ = self.events.send(event).await;
     }
 }
+
+/// Returns how long after a call was sent its answer was surely true.
+///
+/// The service answers with nothing only after it has waited, and with changes at any time.
+fn proven_time(is_empty: bool, took: Duration) -> Duration {
+    if is_empty && took >= WATCH_WAIT { WATCH_WAIT } else { Duration::ZERO }
+}
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -1,5 +1,7 @@
 //! What a node believes, and how it decides, while stores and endpoints come and go.
 
+#![allow(clippy::expect_used, reason = "helpers of tests may panic")]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -1,5 +1,7 @@
 //! Exchanges with endpoints whose answers come in every form.
 
+#![allow(clippy::expect_used, reason = "helpers of tests may panic")]
+
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
--- a/crates/apricotknot-standin/src/users_platform/metadata_state.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Value of a key with the lease that it is bound to.
+pub(super) type LeasedValue = (Vec<u8>, i64);
+
 /// Holds one key.
 #[derive(Clone, Debug)]
 pub(super) struct StoredItem {
@@ -48,7 +51,7 @@
 
 impl MetadataState {
     /// Writes or removes keys in one change of the revision; returns the revision.
-    pub(super) fn change(&mut self, changes: Vec<(String, Option<(Vec<u8>, i64)>)>) -> u64 {
+    pub(super) fn change(&mut self, changes: Vec<(String, Option<LeasedValue>)>) -> u64 {
         self.revision += 1;
         let revision = self.revision;
         for (key, value) in changes {
--- a/crates/apricotknot/examples/in_force.rs
+++ b/crates/apricotknot/examples/in_force.rs
@@ -101,5 +101,8 @@
          [store]\naddresses = {store}\n[shutdown]\nunready_wait_ms = 0\n[log]\nlevel = error\n"
     );
     let settings = NodeSettings::parse(Path::new("in_force.ini"), &text)?;
-    Ok(NodeProcess::start(&settings, build_logger(&settings.log, &settings.identity))?)
+    Ok(NodeProcess::start(
+        &settings,
+        build_logger(&settings.log, &settings.identity, std::io::stderr()),
+    )?)
 }
--- a/crates/apricotknot/examples/quickstart.rs
+++ b/crates/apricotknot/examples/quickstart.rs
@@ -52,7 +52,10 @@
 async fn run(store: SocketAddr, engines: &[SocketAddr]) -> Result<(), Box<dyn Error>> {
     write_resources(store, engines).await?;
     let settings = NodeSettings::parse(Path::new("quickstart.ini"), &settings_text(store))?;
-    let node = NodeProcess::start(&settings, build_logger(&settings.log, &settings.identity))?;
+    let node = NodeProcess::start(
+        &settings,
+        build_logger(&settings.log, &settings.identity, std::io::stderr()),
+    )?;
     println!("node on {}, engines on {engines:?}\n", node.caller_address());
     wait_until_ready(node.caller_address()).await?;
     send_prompt(&node, "a short question", 300, true).await?;
--- a/crates/apricotknot/src/settings/section.rs
+++ b/crates/apricotknot/src/settings/section.rs
@@ -39,6 +39,9 @@
         .map(|(_, name)| name.into())
 }
 
+/// Key and value of one line, both names.
+pub(super) type NamePair = (Arc<str>, Arc<str>);
+
 /// Reads the keys of one section and remembers which are known.
 pub(super) struct SectionReader<'a> {
     file: &'a Path,
@@ -165,7 +168,7 @@
     }
 
     /// Reads all keys of a section whose keys are names.
-    pub(super) fn names(self) -> Result<Vec<(Arc<str>, Arc<str>)>, SettingsError> {
+    pub(super) fn names(self) -> Result<Vec<NamePair>, SettingsError> {
         let allowed = allowed_names();
         let entries = self.properties.into_iter().flat_map(Properties::iter);
         entries
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway as processes, before a stand-in of the users' platform.
 
+#![allow(clippy::expect_used, reason = "helpers of tests may panic")]
+
 #[path = "support/gateway_fleet.rs"]
 mod gateway_fleet;
 
@@ -59,10 +61,8 @@
     let long = lookup_request("c")
         .replace("request-id", &format!("x: {}\r\nrequest-id", "y".repeat(5_000)));
     assert_eq!(node.send(&long).status, 431);
-    let large = format!(
-        "POST /order/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: d\r\ncontent-length: 99999\r\n\r\n"
-    );
-    assert_eq!(node.send(&large).status, 413);
+    let large = "POST /order/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: d\r\ncontent-length: 99999\r\n\r\n";
+    assert_eq!(node.send(large).status, 413);
     assert!(fleet.desk.runs().is_empty());
 }
 
