placement: parts read for others go first, and long parts are spread over all engines

Cause: a prompt of 488,000 tokens was read by three engines, 6.4 s each; ten requests that those engines had begun to read were stuck behind it for 12 s, as parts for others go ahead. The model took all reads in the order of arrival, and an engine whose estimate had run out for idle. Late requests now take only idle endpoints; an engine's time has a price that grows with the load.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -15,8 +15,11 @@
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
 
-/// Read time of a part from which those that read behind it are late.
-const SLOW_READ: Duration = Duration::from_millis(150);
+/// Read time of a part that those that are read behind it do not notice.
+const SLOW_READ: Duration = Duration::from_millis(100);
+
+/// Read time beyond that by which those that are read behind it lose all of their value.
+const RUINOUS_READ: Duration = Duration::from_secs(1);
 
 /// Holds the work of all nodes at one endpoint.
 #[derive(Clone, Debug, Default)]
@@ -33,8 +36,10 @@
     writers: Vec<(Duration, f64)>,
     /// Values of the requests that have not begun to be answered.
     reader_values: f64,
-    /// Start and length of each read that is under way.
-    reads: Vec<(MonotonicTime, Duration)>,
+    /// Start and length of each read for requests that the endpoint runs.
+    own_reads: Vec<(MonotonicTime, Duration)>,
+    /// Start and length of each read for others, which go ahead of the endpoint's own.
+    helper_reads: Vec<(MonotonicTime, Duration)>,
 }
 
 impl EndpointLoad {
@@ -51,9 +56,13 @@
             }
             return;
         }
-        self.reads.push((work.since, work.read_time));
-        if work.role == WorkRole::Runner {
-            self.reader_values += value_of(work.prompt);
+        let read = (work.since, work.read_time);
+        match work.role {
+            WorkRole::Helper => self.helper_reads.push(read),
+            WorkRole::Runner => {
+                self.own_reads.push(read);
+                self.reader_values += value_of(work.prompt);
+            },
         }
     }
 
@@ -64,11 +73,18 @@
 
     /// Returns the time until all reads under way are done, one after the other.
     pub(super) fn backlog(&self, now: MonotonicTime) -> Duration {
-        let mut reads = self.reads.clone();
-        reads.sort_unstable();
-        let ends = reads.into_iter();
-        let end = ends.fold(MonotonicTime::ZERO, |end, (since, time)| end.max(since) + time);
-        end.saturating_sub(now)
+        let reads = self.own_reads.iter().chain(&self.helper_reads).copied();
+        time_to_read(reads.collect(), now)
+    }
+
+    /// Returns the time until the reads for others are done, one after the other.
+    pub(super) fn helper_backlog(&self, now: MonotonicTime) -> Duration {
+        time_to_read(self.helper_reads.clone(), now)
+    }
+
+    /// Returns whether nothing is read.
+    pub(super) fn is_idle(&self) -> bool {
+        self.own_reads.is_empty() && self.helper_reads.is_empty()
     }
 
     /// Returns the time between two events of the streams that are written, without any reads.
@@ -88,11 +104,18 @@
             .filter(|(limit, _)| longest > limit.mul_f64(TIMELY_SHARE))
             .map(|(_, value)| value * (1.0 - LATE_SHARE))
             .sum();
-        let readers = if part > SLOW_READ { self.reader_values * 0.5 } else { 0.0 };
-        late + readers
+        let delay = part.saturating_sub(SLOW_READ).as_secs_f64() / RUINOUS_READ.as_secs_f64();
+        late + self.reader_values * delay.min(1.0)
     }
 }
 
+fn time_to_read(mut reads: Vec<(MonotonicTime, Duration)>, now: MonotonicTime) -> Duration {
+    reads.sort_unstable();
+    let ends = reads.into_iter();
+    let end = ends.fold(MonotonicTime::ZERO, |end, (since, time)| end.max(since) + time);
+    end.saturating_sub(now)
+}
+
 /// Sums up the work of all nodes at each endpoint.
 pub(super) fn sum_loads(
     board: &FleetBoard,
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -194,6 +194,7 @@
     Some(SharePlan {
         net: 1.0,
         is_timely: true,
+        is_idle: true,
         plan: PlacementPlan {
             endpoint: best.endpoint,
             memory: 0,
@@ -223,7 +224,9 @@
     let may_wait = is_long && !is_over;
     let can_be_timely = now + fastest(engine, ask, seat_count)
         <= ask.arrived + ask.target_latency.mul_f64(TIMELY_SHARE);
-    if may_wait && (rank > 0 || (!found.is_timely && can_be_timely)) {
+    // What is late anyway takes only what is idle: others can still be answered on time.
+    let is_held_back = !found.is_timely && (can_be_timely || !found.is_idle);
+    if may_wait && (rank > 0 || is_held_back) {
         return PlacementVerdict::Wait;
     }
     PlacementVerdict::Send(found.plan)
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -18,12 +18,15 @@
 /// Most endpoints that read one prompt: the one that runs it and 16 helpers.
 pub(super) const MAX_SHARES: usize = 17;
 
-/// Numbers of endpoints that are weighed for one prompt.
-const SHARE_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MAX_SHARES];
+/// Numbers of endpoints that are weighed for one prompt, beside all that there are.
+const SHARE_COUNTS: [usize; 8] = [1, 2, 3, 4, 6, 8, 11, 14];
 
 /// Shortest part of a prompt that is worth another endpoint.
 const MIN_PART: Duration = Duration::from_millis(40);
 
+/// Longest part of a prompt for one endpoint while others could read some of it.
+const MAX_PART: Duration = Duration::from_millis(1_500);
+
 /// Value that each endpoint costs that takes part.
 const SEAT_COST: f64 = 0.02;
 
@@ -36,6 +39,12 @@
 /// Part of an engine's slots that short streams fill before another engine is used.
 const PACKED_SHARE: f64 = 0.75;
 
+/// Value that others can gain by a second of an endpoint's time, while all are in use.
+const RENT: f64 = 1.5;
+
+/// Backlog of an endpoint that counts as in full use.
+const BUSY_BACKLOG: Duration = Duration::from_millis(300);
+
 /// Smallest part of a prompt that is held for another endpoint, in tokens.
 const MIN_HELD: TokenCount = 4_000;
 
@@ -60,6 +69,8 @@
     pub(super) net: f64,
     /// Whether the answer is expected to begin on time.
     pub(super) is_timely: bool,
+    /// Whether none of the endpoints has anything to read.
+    pub(super) is_idle: bool,
     pub(super) plan: PlacementPlan,
 }
 
@@ -68,8 +79,10 @@
     seat: &'a ShareSeat,
     /// Value that others lose, and that the endpoint's failures cost.
     harm: f64,
-    /// Time until the endpoint has read its part.
+    /// Time until the endpoint has read its part, if it runs the request.
     ready: Duration,
+    /// Time until the endpoint has read its part, if it helps.
+    helper_ready: Duration,
 }
 
 /// Returns the plan with the largest net value, if there is room for any.
@@ -80,16 +93,36 @@
     now: MonotonicTime,
 ) -> Option<SharePlan> {
     let read = engine.read_time(ask.size.prompt);
-    let plans = SHARE_COUNTS.into_iter().filter_map(|count| {
+    let rent = read.as_secs_f64() * RENT * fleet_load(engine, &seats, now);
+    if seats.is_empty() {
+        return None;
+    }
+    let all = seats.len().min(MAX_SHARES);
+    let counts = SHARE_COUNTS.into_iter().filter(|count| *count < all).chain([all]);
+    let plans = counts.filter_map(|count| {
         let parts = u32::try_from(count).unwrap_or(u32::MAX);
-        if count > 1 && read / parts < MIN_PART {
+        let part = read / parts;
+        let is_needless = count > 1 && part < MIN_PART;
+        let is_too_long = part > MAX_PART && count < all;
+        if is_needless || is_too_long {
             return None;
         }
-        plan_for(engine, &seats, ask, count, read / parts, now)
+        plan_for(engine, &seats, ask, count, part, now)
     });
+    let plans = plans.map(|plan| SharePlan { net: plan.net - rent, ..plan });
     plans.max_by(|left, right| left.net.total_cmp(&right.net))
 }
 
+/// Returns the part of the endpoints' time that is in use, from 0 to 1.
+fn fleet_load(engine: &EngineModel, seats: &[ShareSeat], now: MonotonicTime) -> f64 {
+    let loads = seats.iter().map(|seat| {
+        let running = f64::from(seat.load.running) / f64::from(engine.slots.max(1));
+        let reading = seat.load.backlog(now).as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
+        running.max(reading).min(1.0)
+    });
+    loads.sum::<f64>() / (seats.len().max(1) as f64)
+}
+
 fn plan_for(
     engine: &EngineModel,
     seats: &[ShareSeat],
@@ -115,14 +148,18 @@
         return None;
     }
     let held = hold(ask.size.memory(), &runner, &helpers)?;
-    let ready = helpers.iter().map(|helper| helper.ready).fold(runner.ready, Duration::max);
+    let ready = helpers.iter().map(|helper| helper.helper_ready).fold(runner.ready, Duration::max);
     let first_event = ready + pass_with(engine, &runner.seat.load, ask.size.prompt);
     let harm: f64 = runner.harm + helpers.iter().map(|helper| helper.harm).sum::<f64>();
     let is_timely =
         now.saturating_sub(ask.arrived) + first_event <= ask.target_latency.mul_f64(TIMELY_SHARE);
     let value = value_of(ask.size.prompt);
     let gain = if is_timely { value } else { value * LATE_SHARE };
-    let time = first_event.as_secs_f64() / ask.target_latency.as_secs_f64().max(1e-3);
+    let horizon = match is_timely {
+        true => ask.target_latency,
+        false => ask.deadline.saturating_sub(ask.arrived),
+    };
+    let time = first_event.as_secs_f64() / horizon.as_secs_f64().max(1e-3);
     let net = gain * (1.0 - TIME_COST * time.min(1.0))
         - harm
         - SEAT_COST * count as f64
@@ -130,6 +167,7 @@
     Some(SharePlan {
         net,
         is_timely,
+        is_idle: helpers.iter().chain([&&runner]).all(|weighed| weighed.seat.load.is_idle()),
         plan: PlacementPlan {
             endpoint: runner.seat.endpoint.clone(),
             memory: ask.size.memory() - held.iter().map(|part| part.memory).sum::<TokenCount>(),
@@ -142,7 +180,7 @@
 
 impl WeighedSeat<'_> {
     fn order(&self) -> (f64, Duration) {
-        (self.harm, self.ready)
+        (self.harm, self.helper_ready)
     }
 }
 
@@ -158,6 +196,7 @@
         seat,
         harm: seat.load.harm(engine, part, now) + seat.failures * FAILURE_COST,
         ready: (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness),
+        helper_ready: (under_way + seat.load.helper_backlog(now) + part).mul_f64(seat.slowness),
     }
 }
 
