--- a/crates/apricotknot-core/src/fleet/fleet_board.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -214,6 +214,11 @@
         self.endpoints.values()
     }
 
+    /// Returns the endpoint that runs an attempt of this node.
+    pub fn runner(&self, attempt: AttemptId) -> Option<&EndpointId> {
+        self.own.get(&attempt)?.first().map(|work| &work.endpoint)
+    }
+
     /// Returns the profile of a service.
     pub fn service(&self, service: &str) -> Option<&ServiceProfile> {
         self.services.get(service)
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_codec::Framed;
+use actix_http::ConnectionType;
 use actix_http::Request;
 use actix_http::RequestHead;
 use actix_http::Response;
@@ -18,11 +19,13 @@
 use actix_http::h1::Codec;
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::HeaderMap;
 use actix_rt::net::TcpStream;
 use apricotknot_core::routing::InputLimits;
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::io::AsyncReadExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -99,7 +102,7 @@
         let mut response = Response::new(head.status).drop_body();
         *response.headers_mut() = head.headers.clone();
         if self.is_closing {
-            response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+            response.head_mut().set_connection_type(ConnectionType::Close);
         }
         self.encode(Message::Item((response, size)))
     }
@@ -177,7 +180,6 @@
     }
 
     async fn drain(&mut self) {
-        use tokio::io::AsyncReadExt;
         let mut scratch = BytesMut::with_capacity(DRAIN_BYTES);
         while let Ok(count) = self.framed.io_mut().read_buf(&mut scratch).await {
             if count == 0 {
@@ -314,5 +316,5 @@
 }
 
 fn declared_length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(actix_http::header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/apricotknot-gateway/src/clock.rs
+++ b/crates/apricotknot-gateway/src/clock.rs
@@ -17,3 +17,8 @@
         clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
     }
 }
+
+/// Returns `duration` in whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -28,7 +28,9 @@
 use super::StateLimits;
 use super::announcer::NodeAnnouncer;
 use crate::clock::BootClock;
+use crate::clock::millis;
 use crate::peers::NewsSeal;
+use crate::protocol::RecordChange;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -223,8 +225,7 @@
         }
     }
 
-    fn log_changes(&self, records: &[crate::protocol::RecordChange]) {
-        use crate::protocol::RecordChange;
+    fn log_changes(&self, records: &[RecordChange]) {
         for record in records {
             match record {
                 RecordChange::Endpoint(entry) => info!(
@@ -280,7 +281,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::CrashBook;
 use apricotknot_core::fleet::CrashNote;
 use apricotknot_core::fleet::FleetBoard;
@@ -17,6 +18,7 @@
 use apricotknot_core::fleet::WaitNews;
 use apricotknot_core::fleet::place;
 use apricotknot_core::routing::DesiredState;
+use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -39,6 +41,9 @@
 /// Time after the key-value service is back in which endpoints announce themselves again.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
 
+/// Longest time from a broken connection to the sign that its endpoint has crashed.
+const SUSPECT_TIME: Duration = Duration::from_secs(6);
+
 /// Time after which a request that crashes endpoints may be tried again.
 const CONDEMNED_RETRY: Duration = Duration::from_secs(30);
 
@@ -73,6 +78,8 @@
     board: FleetBoard,
     registry: NodeRegistry,
     crashes: CrashBook,
+    /// Requests whose connections broke, with the endpoints that may have crashed.
+    suspects: Vec<(MonotonicTime, CrashNote)>,
     windows: BTreeMap<ServiceId, RetryWindow>,
     waiting: Vec<WaitingRequest>,
     desired: Option<Arc<DesiredState>>,
@@ -102,6 +109,7 @@
             board: FleetBoard::new(regions),
             registry: NodeRegistry::default(),
             crashes: CrashBook::default(),
+            suspects: Vec::new(),
             windows: BTreeMap::new(),
             waiting: Vec::new(),
             desired: None,
@@ -120,11 +128,14 @@
                 self.board.note_writing(attempt, now);
                 self.board.note_pace(&endpoint, pace, now);
             },
-            ControlCommand::Ended { attempt, end } => self.board.end(attempt, end, now),
+            ControlCommand::Ended { attempt, end } => self.end(attempt, end, now),
             ControlCommand::Crashed { fingerprint, endpoint } => {
-                self.crashes.record(CrashNote { fingerprint, endpoint }, now);
+                self.suspects.push((now, CrashNote { fingerprint, endpoint }));
+            },
+            ControlCommand::Cleared { fingerprint } => {
+                self.suspects.retain(|(_, note)| note.fingerprint != fingerprint);
+                self.crashes.clear(fingerprint);
             },
-            ControlCommand::Cleared { fingerprint } => self.crashes.clear(fingerprint),
             ControlCommand::Stop => {},
         }
     }
@@ -316,6 +327,29 @@
         let _ = waiting.reply.send(Ok(grant));
     }
 
+    fn end(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
+        let runner = self.board.runner(attempt).cloned();
+        self.board.end(attempt, end, now);
+        if let Some(endpoint) = runner.filter(|_| end == AttemptEnd::Unreachable) {
+            self.confirm_crash(&endpoint, now);
+        }
+    }
+
+    /// Holds the end of an endpoint against the requests whose connections it broke before.
+    ///
+    /// A broken connection alone does not show that the endpoint has crashed.
+    fn confirm_crash(&mut self, endpoint: &str, now: MonotonicTime) {
+        self.suspects.retain(|(at, _)| *at + SUSPECT_TIME > now);
+        let suspects = std::mem::take(&mut self.suspects);
+        let (crashed, others) =
+            suspects.into_iter().partition(|(_, note)| *note.endpoint == *endpoint);
+        self.suspects = others;
+        let crashed: Vec<(MonotonicTime, CrashNote)> = crashed;
+        for (_, note) in crashed {
+            self.crashes.record(note, now);
+        }
+    }
+
     fn apply_registry(&mut self, change: RegistryChange, now: MonotonicTime) {
         match change {
             RegistryChange::Node(node, record) => self.registry.set(node, record),
@@ -333,9 +367,16 @@
             RecordChange::Configuration(desired) => return self.apply_desired(*desired),
             RecordChange::Endpoint(entry) => {
                 self.missing.remove(&entry.id);
+                let known = self.board.endpoint(&entry.id).map(|state| state.entry.birth);
+                if known.is_some_and(|birth| birth != entry.birth) {
+                    self.confirm_crash(&entry.id, now);
+                }
                 self.board.set_endpoint(entry);
             },
-            RecordChange::EndpointGone(endpoint) => self.lose_endpoint(endpoint, now),
+            RecordChange::EndpointGone(endpoint) => {
+                self.confirm_crash(&endpoint, now);
+                self.lose_endpoint(endpoint, now);
+            },
             RecordChange::CentreOut(centre) => self.board.set_evacuated(centre, true, now),
             RecordChange::CentreBack(centre) => self.board.set_evacuated(centre, false, now),
         }
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -6,14 +6,10 @@
 use actix_http::ResponseHead;
 use actix_http::header::CONTENT_ENCODING;
 use apricotknot_core::fleet::AttemptEnd;
-use apricotknot_core::fleet::PlacementAsk;
 use apricotknot_core::routing::CallKind;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 use bytes::Bytes;
-use bytes::BytesMut;
-use slog::info;
-use slog::warn;
 
 use super::CallFault;
 use super::CallRecord;
@@ -24,14 +20,12 @@
 use super::attempt::OpenAttempt;
 use super::attempt::WaitBreak;
 use super::reservation::reserve;
-use crate::CallLabels;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::hop_free;
 use crate::control::AttemptGuard;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
-use crate::control::PlacementRequest;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
 use crate::endpoint::ExchangeOrder;
@@ -44,9 +38,6 @@
 /// Most endpoints that one call is offered to, those among them that refuse it.
 const MAX_SENDS: u32 = 4;
 
-/// Largest answer that is held back until it is whole, in bytes.
-const MAX_HELD_BYTES: usize = 4 * 1_024 * 1_024;
-
 /// Prompts up to this length are read before longer ones.
 const SHORT_PROMPT: u64 = 24_000;
 
@@ -56,9 +47,6 @@
 /// Shortest silence after which another endpoint is tried.
 const MIN_PATIENCE: Duration = Duration::from_millis(900);
 
-/// Shortest time that counts as expected for an answer to begin.
-const MIN_EXPECTED: Duration = Duration::from_millis(50);
-
 /// How a call ended, for the log and the metrics.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum CallEnd {
@@ -74,7 +62,7 @@
 
 impl CallEnd {
     /// Returns the name used in metrics and logs.
-    fn name(&self) -> &'static str {
+    pub(super) fn name(&self) -> &'static str {
         match self {
             Self::Answered => "answered",
             Self::Fault(fault) => fault.name(),
@@ -91,16 +79,16 @@
     pub(super) call: CallRecord,
     pub(super) last_event: Option<u64>,
     pub(super) has_begun: bool,
-    excluded: Vec<EndpointId>,
+    pub(super) excluded: Vec<EndpointId>,
     /// Endpoint of the newest attempt.
-    endpoint: Option<EndpointId>,
-    begun_after: Option<Duration>,
+    pub(super) endpoint: Option<EndpointId>,
+    pub(super) begun_after: Option<Duration>,
     /// Endpoint that was found in place of a silent one.
-    next_grant: Option<EndpointGrant>,
-    sends: u32,
-    runs: u32,
+    pub(super) next_grant: Option<EndpointGrant>,
+    pub(super) sends: u32,
+    pub(super) runs: u32,
     /// Answer that is passed on if no better one comes.
-    fallback: Option<(ResponseHead, Bytes)>,
+    pub(super) fallback: Option<(ResponseHead, Bytes)>,
 }
 
 impl<'a, P: CallProtocol> CallDriver<'a, P> {
@@ -146,62 +134,6 @@
         end
     }
 
-    // Placing
-
-    async fn ask_grant(&mut self) -> Result<EndpointGrant, CallEnd> {
-        if let Some(grant) = self.next_grant.take() {
-            return Ok(grant);
-        }
-        let reply = self.context.control.place(self.placement_request(true));
-        match self.unless_broken(reply, None).await {
-            Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
-            Err(_) => Err(self.end_late()),
-            Ok(Ok(Ok(grant))) => {
-                self.note_placed(&grant);
-                Ok(grant)
-            },
-            Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            }))),
-            Ok(Err(_)) => Err(self.end_failed(None)),
-        }
-    }
-
-    /// Looks for another endpoint in place of a silent one.
-    ///
-    /// Where there is none, the silent one is waited for on: its work is not thrown away in vain.
-    pub(super) async fn find_other(&mut self, silent: &EndpointId) -> bool {
-        self.excluded.push(Arc::clone(silent));
-        let reply = self.context.control.place(self.placement_request(false));
-        let Ok(Ok(Ok(grant))) = self.unless_broken(reply, None).await else {
-            self.excluded.pop();
-            return false;
-        };
-        self.note_placed(&grant);
-        self.next_grant = Some(grant);
-        true
-    }
-
-    fn placement_request(&self, may_wait: bool) -> PlacementRequest {
-        PlacementRequest {
-            attempt: rand::random(),
-            ask: PlacementAsk {
-                service: Arc::clone(&self.call.service),
-                size: self.call.terms.size,
-                regions: self.call.regions.clone(),
-                excluded: self.excluded.clone(),
-                arrived: self.call.arrived,
-                target_latency: self.call.route.target_latency,
-                pause_limit: self.call.route.pause_limit.unwrap_or(Duration::MAX),
-                deadline: self.call.deadline,
-            },
-            is_repeat: self.sends > 0,
-            may_wait,
-            fingerprint: self.call.fingerprint,
-        }
-    }
-
     // Attempting
 
     async fn attempt(&mut self, grant: EndpointGrant) -> Result<(), CallBreak> {
@@ -249,7 +181,10 @@
             Err(_) => Err(CallBreak::Deadline),
             Ok(Err(error)) => {
                 guard.set_end(AttemptEnd::Unreachable);
-                Err(self.fail(guard, grant.endpoint, &error, AttemptFault::NotRun))
+                drop(guard);
+                self.note_attempt(&grant.endpoint, AttemptEnd::Unreachable, &error.to_string());
+                self.excluded.push(grant.endpoint);
+                Err(CallBreak::Attempt(AttemptFault::NotRun))
             },
             Ok(Ok(exchange)) => {
                 self.sends += 1;
@@ -310,49 +245,9 @@
         Err(CallBreak::Attempt(AttemptFault::MayHaveRun))
     }
 
-    /// Reads an answer until it is whole, then passes it on.
-    async fn relay_whole(&mut self, answered: AnsweredAttempt) -> Result<(), CallBreak> {
-        let AnsweredAttempt { mut open, head } = answered;
-        let mut body = BytesMut::new();
-        loop {
-            let patience = open.patience;
-            match self.unless_broken(open.exchange.read_part(), patience).await {
-                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
-                    open.patience = None;
-                },
-                Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
-                Ok(Err(error)) => return Err(self.lose(open, &error)),
-                Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_HELD_BYTES => {
-                    body.extend_from_slice(&part);
-                },
-                Ok(Ok(Some(_))) => return Err(self.lose(open, &ExchangeError::MalformedBody)),
-                Ok(Ok(None)) => break,
-            }
-        }
-        self.runs += 1;
-        let body = body.freeze();
-        if head.status.is_server_error() {
-            open.guard.set_end(AttemptEnd::Failed);
-            self.note_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
-            if self.may_run_again() {
-                self.fallback = Some((head, body));
-                self.excluded.push(open.endpoint);
-                return Err(CallBreak::Attempt(AttemptFault::MayHaveRun));
-            }
-        } else {
-            self.note_begun(&open);
-            self.note_answered(&mut open);
-        }
-        self.write_whole(head, body).map_err(|_| CallBreak::CallerGone)
-    }
-
     // Deciding
 
-    pub(super) fn note_run(&mut self) {
-        self.runs += 1;
-    }
-
-    fn may_run_again(&self) -> bool {
+    pub(super) fn may_run_again(&self) -> bool {
         self.call.route.may_repeat() && self.runs < self.call.route.attempts
     }
 
@@ -366,14 +261,14 @@
         }
     }
 
-    fn end_late(&self) -> CallEnd {
+    pub(super) fn end_late(&self) -> CallEnd {
         if self.has_begun {
             return CallEnd::Cut;
         }
         CallEnd::Fault(if self.has_run() { CallFault::LateSent } else { CallFault::LateUnsent })
     }
 
-    fn end_failed(&self, refusal: Option<CallFault>) -> CallEnd {
+    pub(super) fn end_failed(&self, refusal: Option<CallFault>) -> CallEnd {
         if self.has_begun {
             return CallEnd::Cut;
         }
@@ -387,7 +282,7 @@
         CallEnd::Fault(refusal.unwrap_or(full))
     }
 
-    fn has_run(&self) -> bool {
+    pub(super) fn has_run(&self) -> bool {
         self.runs > 0
     }
 
@@ -432,20 +327,9 @@
             fingerprint: self.call.fingerprint,
             endpoint: Arc::clone(&open.endpoint),
         });
-        self.fail(open.guard, open.endpoint, error, AttemptFault::MayHaveRun)
-    }
-
-    fn fail(
-        &mut self,
-        guard: AttemptGuard,
-        endpoint: EndpointId,
-        error: &ExchangeError,
-        fault: AttemptFault,
-    ) -> CallBreak {
-        drop(guard);
-        self.note_attempt(&endpoint, AttemptEnd::Broken, &error.to_string());
-        self.excluded.push(endpoint);
-        CallBreak::Attempt(fault)
+        self.note_attempt(&open.endpoint, AttemptEnd::Broken, &error.to_string());
+        self.excluded.push(open.endpoint);
+        CallBreak::Attempt(AttemptFault::MayHaveRun)
     }
 
     // Answering
@@ -468,7 +352,11 @@
         }
     }
 
-    fn write_whole(&mut self, mut head: ResponseHead, body: Bytes) -> Result<(), ConnectionError> {
+    pub(super) fn write_whole(
+        &mut self,
+        mut head: ResponseHead,
+        body: Bytes,
+    ) -> Result<(), ConnectionError> {
         hop_free(&mut head.headers);
         self.note_stop();
         self.connection.answer(&head, body)
@@ -481,85 +369,6 @@
         }
     }
 
-    // Noting
-
-    pub(super) fn note_answered(&mut self, open: &mut OpenAttempt) {
-        open.guard.set_end(AttemptEnd::Answered);
-        let fingerprint = self.call.fingerprint;
-        self.context.control.tell(ControlCommand::Cleared { fingerprint });
-        self.count_attempt(AttemptEnd::Answered);
-    }
-
-    /// Tells the control thread that an answer began, and how soon.
-    pub(super) fn note_begun(&mut self, open: &OpenAttempt) {
-        let after = self.now().saturating_sub(open.sent_at).as_secs_f64();
-        self.context.control.tell(ControlCommand::Writing {
-            attempt: open.guard.attempt(),
-            endpoint: Arc::clone(&open.endpoint),
-            pace: after / open.expected.as_secs_f64().max(MIN_EXPECTED.as_secs_f64()),
-        });
-        let waited = self.now().saturating_sub(self.call.arrived);
-        self.begun_after.get_or_insert(waited);
-        self.context.metrics.answer_begin.observe(waited.as_secs_f64());
-    }
-
-    fn note_placed(&self, grant: &EndpointGrant) {
-        info!(
-            self.context.logger, "call: placed";
-            "request" => %self.call.terms.request_id, "endpoint" => %grant.endpoint,
-            "helpers" => grant.helpers.len(), "held" => grant.held_tokens(),
-            "prompt" => self.call.terms.size.prompt,
-            "expected_ms" => millis(grant.expected),
-            "waited_ms" => millis(self.now().saturating_sub(self.call.arrived)),
-            "version" => self.call.version, "knowledge_ms" => millis(self.call.knowledge_age)
-        );
-    }
-
-    fn note_attempt(&self, endpoint: &EndpointId, end: AttemptEnd, cause: &str) {
-        self.count_attempt(end);
-        warn!(
-            self.context.logger, "call: attempt failed";
-            "request" => %self.call.terms.request_id, "endpoint" => %endpoint,
-            "end" => end.name(), "cause" => cause, "sends" => self.sends,
-            "after_ms" => millis(self.now().saturating_sub(self.call.arrived))
-        );
-    }
-
-    fn count_attempt(&self, end: AttemptEnd) {
-        let labels = CallLabels { kind: self.call.route.kind.name(), outcome: end.name() };
-        self.context.metrics.attempts.get_or_create(&labels).inc();
-    }
-
-    fn record(&self, end: &CallEnd) {
-        let outcome = end.name();
-        let labels = CallLabels { kind: self.call.route.kind.name(), outcome };
-        self.context.metrics.calls.get_or_create(&labels).inc();
-        info!(
-            self.context.logger, "call: over";
-            "request" => %self.call.terms.request_id, "outcome" => outcome,
-            "executed" => self.executed(end), "route" => %self.call.route.name,
-            "account" => self.call.account.as_deref().unwrap_or_default(),
-            "prompt" => self.call.terms.size.prompt, "endpoint" => self.endpoint_name(),
-            "sends" => self.sends, "runs" => self.runs,
-            "begun_ms" => self.begun_after.map(millis),
-            "took_ms" => millis(self.now().saturating_sub(self.call.arrived)),
-            "version" => self.call.version, "knowledge_ms" => millis(self.call.knowledge_age)
-        );
-    }
-
-    fn executed(&self, end: &CallEnd) -> &'static str {
-        match end {
-            CallEnd::Answered => "yes",
-            CallEnd::Fault(fault) => fault.executed(),
-            CallEnd::Cut | CallEnd::CallerGone if self.has_run() => "unknown",
-            CallEnd::Cut | CallEnd::CallerGone => "no",
-        }
-    }
-
-    fn endpoint_name(&self) -> &str {
-        self.endpoint.as_deref().unwrap_or_default()
-    }
-
     // Waiting
 
     /// Waits for `work` unless the caller leaves, time runs out, or it is silent for too long.
@@ -596,7 +405,3 @@
         _ => 6,
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/apricotknot-gateway/src/driver/call_record.rs
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::RequestHead;
+use actix_http::header::HOST;
 use apricotknot_core::fleet::Fingerprint;
 use apricotknot_core::routing::RouteSpec;
 use apricotknot_core::types::AccountId;
@@ -107,7 +108,7 @@
 }
 
 fn host_of(head: &RequestHead) -> String {
-    let host = head.headers.get(actix_http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
     host.split(':').next().unwrap_or_default().trim().to_owned()
 }
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -4,7 +4,6 @@
 
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
-use apricotknot_core::fleet::AttemptEnd;
 
 use super::attempt::AnsweredAttempt;
 use super::attempt::CallBreak;
@@ -65,7 +64,7 @@
             if splitter.len() > MAX_EVENT_BYTES {
                 return Err(self.lose(open, &ExchangeError::MalformedBody));
             }
-            self.make_room(&open).await?;
+            self.make_room().await?;
         }
         self.finish(open, &head)
     }
@@ -97,7 +96,7 @@
     }
 
     /// Waits until a slow caller has read part of what was passed on.
-    async fn make_room(&mut self, _open: &OpenAttempt) -> Result<(), CallBreak> {
+    async fn make_room(&mut self) -> Result<(), CallBreak> {
         if self.connection.buffered() < MAX_BUFFERED_BYTES {
             return Ok(());
         }
@@ -111,8 +110,7 @@
 
     fn finish(&mut self, mut open: OpenAttempt, head: &ResponseHead) -> Result<(), CallBreak> {
         self.begin(head)?;
-        self.note_run();
-        open.guard.set_end(AttemptEnd::Answered);
+        self.runs += 1;
         self.note_answered(&mut open);
         self.connection.finish_answer().map_err(|_| CallBreak::CallerGone)
     }
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/placing.rs
@@ -0,0 +1,71 @@
+//! Asks the control thread where a call goes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotknot_core::fleet::PlacementAsk;
+use apricotknot_core::types::EndpointId;
+
+use super::CallFault;
+use super::attempt::WaitBreak;
+use super::call_driver::CallDriver;
+use super::call_driver::CallEnd;
+use crate::control::EndpointGrant;
+use crate::control::PlacementRequest;
+use crate::protocol::CallProtocol;
+
+impl<P: CallProtocol> CallDriver<'_, P> {
+    pub(super) async fn ask_grant(&mut self) -> Result<EndpointGrant, CallEnd> {
+        if let Some(grant) = self.next_grant.take() {
+            return Ok(grant);
+        }
+        let reply = self.context.control.place(self.placement_request(true));
+        match self.unless_broken(reply, None).await {
+            Err(WaitBreak::CallerGone) => Err(CallEnd::CallerGone),
+            Err(_) => Err(self.end_late()),
+            Ok(Ok(Ok(grant))) => {
+                self.note_placed(&grant);
+                Ok(grant)
+            },
+            Ok(Ok(Err(refusal))) => Err(self.end_failed(Some(CallFault::Refused {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            }))),
+            Ok(Err(_)) => Err(self.end_failed(None)),
+        }
+    }
+
+    /// Looks for another endpoint in place of a silent one.
+    ///
+    /// Where there is none, the silent one is waited for on: its work is not thrown away in vain.
+    pub(super) async fn find_other(&mut self, silent: &EndpointId) -> bool {
+        self.excluded.push(Arc::clone(silent));
+        let reply = self.context.control.place(self.placement_request(false));
+        let Ok(Ok(Ok(grant))) = self.unless_broken(reply, None).await else {
+            self.excluded.pop();
+            return false;
+        };
+        self.note_placed(&grant);
+        self.next_grant = Some(grant);
+        true
+    }
+
+    fn placement_request(&self, may_wait: bool) -> PlacementRequest {
+        PlacementRequest {
+            attempt: rand::random(),
+            ask: PlacementAsk {
+                service: Arc::clone(&self.call.service),
+                size: self.call.terms.size,
+                regions: self.call.regions.clone(),
+                excluded: self.excluded.clone(),
+                arrived: self.call.arrived,
+                target_latency: self.call.route.target_latency,
+                pause_limit: self.call.route.pause_limit.unwrap_or(Duration::MAX),
+                deadline: self.call.deadline,
+            },
+            is_repeat: self.sends > 0,
+            may_wait,
+            fingerprint: self.call.fingerprint,
+        }
+    }
+}
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -12,6 +12,7 @@
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::IncomingRequest;
+use crate::clock::millis;
 use crate::protocol::CallProtocol;
 
 /// Kind of calls that no route takes, in metrics.
@@ -94,7 +95,7 @@
         info!(
             self.context.logger, "call: refused";
             "outcome" => fault.name(), "cause" => %fault,
-            "knowledge_ms" => self.context.shared.age(now).as_millis()
+            "knowledge_ms" => millis(self.context.shared.age(now))
         );
         if self.context.shared.is_stopping() {
             self.connection.close_after_answer();
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/whole_relay.rs
@@ -0,0 +1,53 @@
+//! Passes an answer on once it is whole.
+
+use apricotknot_core::fleet::AttemptEnd;
+use bytes::BytesMut;
+
+use super::attempt::AnsweredAttempt;
+use super::attempt::AttemptFault;
+use super::attempt::CallBreak;
+use super::attempt::WaitBreak;
+use super::call_driver::CallDriver;
+use crate::endpoint::ExchangeError;
+use crate::protocol::CallProtocol;
+
+/// Largest answer that is held back until it is whole, in bytes.
+const MAX_HELD_BYTES: usize = 4 * 1_024 * 1_024;
+
+impl<P: CallProtocol> CallDriver<'_, P> {
+    /// Reads an answer until it is whole, then passes it on.
+    pub(super) async fn relay_whole(&mut self, answered: AnsweredAttempt) -> Result<(), CallBreak> {
+        let AnsweredAttempt { mut open, head } = answered;
+        let mut body = BytesMut::new();
+        loop {
+            let patience = open.patience;
+            match self.unless_broken(open.exchange.read_part(), patience).await {
+                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
+                    open.patience = None;
+                },
+                Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
+                Ok(Err(error)) => return Err(self.lose(open, &error)),
+                Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_HELD_BYTES => {
+                    body.extend_from_slice(&part);
+                },
+                Ok(Ok(Some(_))) => return Err(self.lose(open, &ExchangeError::MalformedBody)),
+                Ok(Ok(None)) => break,
+            }
+        }
+        self.runs += 1;
+        let body = body.freeze();
+        if head.status.is_server_error() {
+            open.guard.set_end(AttemptEnd::Failed);
+            self.note_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
+            if self.may_run_again() {
+                self.fallback = Some((head, body));
+                self.excluded.push(open.endpoint);
+                return Err(CallBreak::Attempt(AttemptFault::MayHaveRun));
+            }
+        } else {
+            self.note_begun(&open);
+            self.note_answered(&mut open);
+        }
+        self.write_whole(head, body).map_err(|_| CallBreak::CallerGone)
+    }
+}
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -258,6 +258,28 @@
     granted(&mut other);
 }
 
+/// Answers are lost now and then by endpoints that are well.
+#[test]
+fn a_broken_connection_alone_condemns_nobody() {
+    let mut node = Node::with_engines(4);
+    let crashed = |index: usize| ControlCommand::Crashed {
+        fingerprint: 7,
+        endpoint: format!("engine-{index}").into(),
+    };
+    for index in 0..3 {
+        node.state.handle(crashed(index), NOW);
+    }
+    granted(&mut node.ask(1_000, NOW));
+    node.settle(NOW);
+    for index in 0..3 {
+        let gone = RecordChange::EndpointGone(format!("engine-{index}").into());
+        node.state.apply(vec![gone], Vec::new(), NOW);
+    }
+    let refusal = node.ask(1_000, NOW).try_recv().expect("an answer").expect_err("condemned");
+    assert_eq!(refusal.reason, "crashes endpoints");
+    assert_eq!(node.state.take_news(NOW).crashes.len(), 3);
+}
+
 #[test]
 fn repeats_end_with_the_budget() {
     let mut node = Node::with_engines(1);
--- a/crates/apricotknot/src/settings/gateway.rs
+++ b/crates/apricotknot/src/settings/gateway.rs
@@ -10,11 +10,11 @@
 use super::LogSettings;
 use super::NodeIdentity;
 use super::SettingsError;
-use super::SettingsErrorKind;
-use super::node_settings::check_sections;
 use super::node_settings::read_identity;
 use super::node_settings::read_log;
 use super::section::SectionReader;
+use super::section::load_sections;
+use super::section::read_file;
 
 /// Sections of a gateway's settings file.
 const SECTIONS: [&str; 6] = ["node", "gateway", "store", "retries", "data_centres", "log"];
@@ -40,10 +40,7 @@
     ///
     /// Returns the first fault found, with its section, key, value and what is allowed.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            SettingsError::new(SettingsErrorKind::Unreadable, path).given(error.to_string())
-        })?;
-        Self::parse(path, &text)
+        read_file(path, Self::parse)
     }
 
     /// Checks `text` as the content of the file at `path`.
@@ -52,10 +49,7 @@
     ///
     /// Returns the first fault found, with its section, key, value and what is allowed.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|error| {
-            SettingsError::new(SettingsErrorKind::Syntax, path).given(error.to_string())
-        })?;
-        check_sections(path, &ini, &SECTIONS)?;
+        let ini = load_sections(path, text, &SECTIONS)?;
         let identity = read_identity(SectionReader::new(path, &ini, "node"))?;
         let log = read_log(SectionReader::new(path, &ini, "log"))?;
         let gateway = read_gateway(path, &ini, &identity)?;
--- a/crates/apricotknot/src/settings/node_settings.rs
+++ b/crates/apricotknot/src/settings/node_settings.rs
@@ -7,7 +7,6 @@
 
 use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::NodeId;
-use ini::Ini;
 
 use super::KnownPeer;
 use super::LogFormat;
@@ -16,7 +15,8 @@
 use super::SettingsError;
 use super::SettingsErrorKind;
 use super::section::SectionReader;
-use super::section::closest_name;
+use super::section::load_sections;
+use super::section::read_file;
 use super::text_types::TokenDigest;
 
 /// Sections of a settings file.
@@ -130,10 +130,7 @@
     ///
     /// Returns the first fault found, with its section, key, value and what is allowed.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            SettingsError::new(SettingsErrorKind::Unreadable, path).given(error.to_string())
-        })?;
-        Self::parse(path, &text)
+        read_file(path, Self::parse)
     }
 
     /// Checks `text` as the content of the file at `path`.
@@ -142,10 +139,7 @@
     ///
     /// Returns the first fault found, with its section, key, value and what is allowed.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|error| {
-            SettingsError::new(SettingsErrorKind::Syntax, path).given(error.to_string())
-        })?;
-        check_sections(path, &ini, &SECTIONS)?;
+        let ini = load_sections(path, text, &SECTIONS)?;
         Ok(Self {
             identity: read_identity(SectionReader::new(path, &ini, "node"))?,
             callers: read_callers(SectionReader::new(path, &ini, "callers"))?,
@@ -158,22 +152,7 @@
     }
 }
 
-/// Refuses sections that are none of `known`.
-pub(super) fn check_sections(
-    path: &Path,
-    ini: &Ini,
-    known: &[&'static str],
-) -> Result<(), SettingsError> {
-    let unknown = ini.sections().flatten().find(|name| !known.contains(name));
-    let Some(name) = unknown else {
-        return Ok(());
-    };
-    Err(SettingsError::new(SettingsErrorKind::UnknownSection, path)
-        .section(name)
-        .allowed(known.join(", "))
-        .hint(closest_name(name, known.iter().copied())))
-}
-
+/// Reads which node the settings are of.
 pub(super) fn read_identity(mut section: SectionReader<'_>) -> Result<NodeIdentity, SettingsError> {
     let identity =
         NodeIdentity { name: section.name("name")?, data_centre: section.name("data_centre")? };
@@ -243,6 +222,7 @@
     Ok(shutdown)
 }
 
+/// Reads the settings of the log.
 pub(super) fn read_log(mut section: SectionReader<'_>) -> Result<LogSettings, SettingsError> {
     let log = LogSettings {
         format: section.parsed("format", LogFormat::Text, "text, json")?,
--- a/crates/apricotknot/src/settings/section.rs
+++ b/crates/apricotknot/src/settings/section.rs
@@ -39,6 +39,36 @@
         .map(|(_, name)| name.into())
 }
 
+/// Reads the file at `path` and hands its text to `parse`.
+pub(super) fn read_file<T>(
+    path: &Path,
+    parse: impl FnOnce(&Path, &str) -> Result<T, SettingsError>,
+) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        SettingsError::new(SettingsErrorKind::Unreadable, path).given(error.to_string())
+    })?;
+    parse(path, &text)
+}
+
+/// Splits INI text, and refuses sections that are none of `known`.
+pub(super) fn load_sections(
+    path: &Path,
+    text: &str,
+    known: &[&'static str],
+) -> Result<Ini, SettingsError> {
+    let ini = Ini::load_from_str(text).map_err(|error| {
+        SettingsError::new(SettingsErrorKind::Syntax, path).given(error.to_string())
+    })?;
+    let unknown = ini.sections().flatten().find(|name| !known.contains(name));
+    let Some(name) = unknown else {
+        return Ok(ini);
+    };
+    Err(SettingsError::new(SettingsErrorKind::UnknownSection, path)
+        .section(name)
+        .allowed(known.join(", "))
+        .hint(closest_name(name, known.iter().copied())))
+}
+
 /// Key and value of one line, both names.
 pub(super) type NamePair = (Arc<str>, Arc<str>);
 
