--- a/crates/apricotknot/tests/proofs.rs
+++ b/crates/apricotknot/tests/proofs.rs
@@ -16,8 +16,10 @@
 fn known_tests() -> (BTreeSet<String>, BTreeSet<String>) {
     let mut tests = BTreeSet::new();
     let mut files = BTreeSet::new();
-    for package in fs::read_dir(root().join("crates")).unwrap() {
-        let Ok(entries) = fs::read_dir(package.unwrap().path().join("tests")) else {
+    let crates = fs::read_dir(root().join("crates")).unwrap();
+    let packages = crates.map(|package| package.unwrap().path()).chain([root().join("platform")]);
+    for package in packages {
+        let Ok(entries) = fs::read_dir(package.join("tests")) else {
             continue;
         };
         for entry in entries {
