--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -68,6 +68,22 @@
     runs: Vec<RunRecord>,
     reservations: BTreeMap<String, u64>,
     released: usize,
+    /// Streams whose reader left before their end.
+    abandoned: usize,
+}
+
+/// Counts a stream that is dropped before its end.
+struct StreamGuard {
+    state: Arc<Mutex<EndpointState>>,
+    is_whole: bool,
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        if !self.is_whole {
+            self.state.lock().unwrap_or_else(PoisonError::into_inner).abandoned += 1;
+        }
+    }
 }
 
 /// Runs a stand-in endpoint until it is dropped.
@@ -94,6 +110,7 @@
             runs: Vec::new(),
             reservations: BTreeMap::new(),
             released: 0,
+            abandoned: 0,
         }));
         let own = Arc::clone(&state);
         let server = StandinServer::start(address, |_| Rc::new(EndpointHandler { state: own }))?;
@@ -139,6 +156,11 @@
         self.lock().released
     }
 
+    /// Returns how many streams were left by their readers before their end.
+    pub fn abandoned(&self) -> usize {
+        self.lock().abandoned
+    }
+
     /// Returns the number of events of each stream.
     pub fn event_count() -> u64 {
         EVENT_COUNT
@@ -170,7 +192,8 @@
         }
         let record = record_of(&call);
         self.lock().runs.push(record.clone());
-        answer(&call, &record, trouble, pause)
+        let guard = StreamGuard { state: Arc::clone(&self.state), is_whole: false };
+        answer(&call, &record, trouble, pause, guard)
     }
 
     fn crash(self: Rc<Self>) {}
@@ -219,8 +242,10 @@
     record: &RunRecord,
     trouble: EndpointTrouble,
     pause: Duration,
+    mut guard: StreamGuard,
 ) -> HttpReply {
     if trouble == EndpointTrouble::LostAnswer {
+        guard.is_whole = true;
         return HttpReply::Disconnect;
     }
     let id = match trouble {
@@ -229,8 +254,11 @@
     };
     let status = if trouble == EndpointTrouble::Failing { 500 } else { 200 };
     let reply = match call.header("token-count") {
-        Some(_) => HttpReply::stream("text/event-stream", events(record, trouble, pause)),
-        None => HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer")),
+        Some(_) => HttpReply::stream("text/event-stream", events(record, trouble, pause, guard)),
+        None => {
+            guard.is_whole = true;
+            HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer"))
+        },
     };
     reply.header("request-id", id).header("response-seal", "sealed")
 }
@@ -239,23 +267,25 @@
     record: &RunRecord,
     trouble: EndpointTrouble,
     pause: Duration,
+    guard: StreamGuard,
 ) -> impl Stream<Item = Result<Bytes, io::Error>> + 'static {
     let first = record.last_event.map_or(0, |last| last + 1);
     let cut_at = match trouble {
         EndpointTrouble::CutAfter(count) => first + count,
         _ => u64::MAX,
     };
-    unfold(first, move |number| async move {
+    unfold((first, guard), move |(number, mut guard)| async move {
         if number >= EVENT_COUNT {
+            guard.is_whole = true;
             return None;
         }
         actix_rt::time::sleep(pause).await;
         if number >= cut_at {
             // The first half of an event, and then the end of the connection.
             let broken = io::Error::from(io::ErrorKind::ConnectionReset);
-            return Some((Err(broken), EVENT_COUNT));
+            return Some((Err(broken), (EVENT_COUNT, guard)));
         }
         let event = format!("id: {number}\ndata: piece {number}\n\n");
-        Some((Ok(Bytes::from(event)), number + 1))
+        Some((Ok(Bytes::from(event)), (number + 1, guard)))
     })
 }
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -202,6 +202,19 @@
     });
 }
 
+#[test]
+fn a_caller_that_leaves_ends_the_work_for_it() {
+    let fleet = Fleet::start("gone", 1);
+    for engine in &fleet.engines {
+        engine.set_event_pause(Duration::from_millis(500));
+    }
+    let mut stream = TcpStream::connect(fleet.nodes[0].callers).expect("a connection");
+    stream.write_all(stream_request("left", 1_000).as_bytes()).expect("a request");
+    wait_until("the stream runs", || fleet.engines.iter().any(|engine| !engine.runs().is_empty()));
+    drop(stream);
+    wait_until("the work ends", || fleet.engines.iter().any(|engine| engine.abandoned() == 1));
+}
+
 #[test]
 fn a_planned_stop_cuts_no_stream() {
     let mut fleet = Fleet::start("stop", 1);
--- /dev/null
+++ b/crates/apricotknot/tests/gateway_settings.rs
@@ -0,0 +1,75 @@
+//! Settings of a gateway node, and the template that the platform fills in.
+
+#![allow(clippy::expect_used, reason = "helpers of tests may panic")]
+
+use std::path::Path;
+use std::time::Duration;
+
+use apricotknot::settings::GatewayFile;
+use apricotknot::settings::SettingsErrorKind;
+
+const SOUND: &str = "[node]\nname = node-1\ndata_centre = north\n\n[gateway]\n\
+    callers = 127.0.0.1:8080\noperations = 127.0.0.1:8081\nnews = 127.0.0.1:7000\n\
+    revoke_ms = 5000\nstop_s = 8\n\n[store]\naddress = 127.0.0.1:2379\n\n\
+    [retries]\nratio = 0.2\nslack = 104\nwindow_s = 10\n\n[data_centres]\nnorth = here\n";
+
+fn parse(text: &str) -> Result<GatewayFile, apricotknot::settings::SettingsError> {
+    GatewayFile::parse(Path::new("gateway.ini"), text)
+}
+
+#[test]
+fn a_sound_file_is_read() {
+    let file = parse(SOUND).expect("sound settings");
+    assert_eq!(&*file.identity.name, "node-1");
+    assert!(file.gateway.knowledge_time < Duration::from_secs(5));
+    assert!(file.gateway.knowledge_time > Duration::from_secs(3));
+    assert_eq!(file.gateway.stop_time, Duration::from_secs(8));
+    assert_eq!(file.gateway.regions.len(), 1);
+    assert!((file.gateway.retries.slack - 104.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn faults_are_named() {
+    let cases = [
+        ("callers = 127.0.0.1:8080", "callers = nowhere", SettingsErrorKind::Invalid),
+        ("callers = 127.0.0.1:8080", "", SettingsErrorKind::Missing),
+        ("stop_s = 8", "stop_s = 0", SettingsErrorKind::Invalid),
+        ("stop_s = 8", "stops_s = 8", SettingsErrorKind::UnknownKey),
+        ("[retries]", "[retry]", SettingsErrorKind::UnknownSection),
+        ("north = here", "north = over there!", SettingsErrorKind::Invalid),
+    ];
+    for (sound, wrong, kind) in cases {
+        let error = parse(&SOUND.replacen(sound, wrong, 1)).expect_err(wrong);
+        assert_eq!(error.kind(), kind, "{wrong}: {error}");
+    }
+}
+
+/// Fills in the template as the platform does, with values of its example.
+#[test]
+fn the_deploy_template_gives_a_sound_file() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gateway.ini");
+    let mut text = std::fs::read_to_string(path).expect("the template");
+    let values = [
+        ("{{nodeName}}", "front-hkd-sap-1"),
+        ("{{zone}}", "hkd-sap"),
+        ("{{listen.front}}", "10.1.0.40:8227"),
+        ("{{listen.ready}}", "10.1.0.40:8220"),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{internalPorts.0}}", "7340"),
+        ("{{bounds.revokeMs}}", "5000"),
+        ("{{bounds.graceS}}", "8"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.retryBudgetSlack}}", "104"),
+        ("{{bounds.budgetWindowS}}", "10"),
+        ("{{platform.addr}}", "10.200.1.7:8223"),
+        ("{{#zones}}{{@}} = {{.}}\n{{/zones}}", "hkd-sap = hkd\nhkd-asa = hkd\n"),
+    ];
+    for (placeholder, value) in values {
+        assert!(text.contains(placeholder), "{placeholder}");
+        text = text.replace(placeholder, value);
+    }
+    assert!(!text.contains("{{"), "all placeholders are known: {text}");
+    let file = parse(&text).expect("sound settings");
+    assert_eq!(file.gateway.regions.len(), 2);
+    assert_eq!(file.gateway.news.port(), 7_340);
+}
