--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -70,6 +70,14 @@
             Self::CallerGone => "caller_gone",
         }
     }
+
+    /// Returns why the call ended so, where it was not answered.
+    pub(super) fn cause(&self) -> Option<String> {
+        match self {
+            Self::Fault(fault) => Some(fault.to_string()),
+            Self::Answered | Self::Cut | Self::CallerGone => None,
+        }
+    }
 }
 
 /// Drives one call.
--- a/crates/apricotknot-gateway/src/driver/call_notes.rs
+++ b/crates/apricotknot-gateway/src/driver/call_notes.rs
@@ -75,7 +75,7 @@
         info!(
             self.context.logger, "call: over";
             "request" => %self.call.terms.request_id, "outcome" => outcome,
-            "executed" => self.executed(end), "route" => %self.call.route.name,
+            "cause" => end.cause(), "executed" => self.executed(end), "route" => %self.call.route.name,
             "account" => self.call.account.as_deref().unwrap_or_default(),
             "prompt" => self.call.terms.size.prompt, "endpoint" => self.endpoint_name(),
             "sends" => self.sends, "runs" => self.runs,
