--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -78,6 +78,12 @@
     is_whole: bool,
 }
 
+impl StreamGuard {
+    fn finish(&mut self) {
+        self.is_whole = true;
+    }
+}
+
 impl Drop for StreamGuard {
     fn drop(&mut self) {
         if !self.is_whole {
@@ -245,7 +251,7 @@
     mut guard: StreamGuard,
 ) -> HttpReply {
     if trouble == EndpointTrouble::LostAnswer {
-        guard.is_whole = true;
+        guard.finish();
         return HttpReply::Disconnect;
     }
     let id = match trouble {
@@ -256,7 +262,7 @@
     let reply = match call.header("token-count") {
         Some(_) => HttpReply::stream("text/event-stream", events(record, trouble, pause, guard)),
         None => {
-            guard.is_whole = true;
+            guard.finish();
             HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer"))
         },
     };
@@ -276,7 +282,7 @@
     };
     unfold((first, guard), move |(number, mut guard)| async move {
         if number >= EVENT_COUNT {
-            guard.is_whole = true;
+            guard.finish();
             return None;
         }
         actix_rt::time::sleep(pause).await;
