--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -127,9 +127,8 @@
 #[actix_rt::test]
 async fn nothing_is_sent_where_nobody_listens() {
     let (mut order, _) = endpoint("", 0, Ending::Closed);
-    let closed = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    order.address = closed.local_addr().expect("an address");
-    drop(closed);
+    // No test listens on this address.
+    order.address = ([127, 0, 0, 3], 1).into();
     let error = exchange(order).await.expect_err("nobody listens");
     assert!(error.is_unsent(), "{error}");
 }
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -37,7 +37,7 @@
         let lookup = node.send(&lookup_request(&format!("lookup-{index}")));
         assert_eq!(lookup.status, 200);
     }
-    let runs = fleet.desk.runs();
+    let runs = fleet.desk_runs();
     assert_eq!(runs.len(), 6);
     for run in &runs {
         assert_eq!(run.account.as_deref(), Some("office"), "a forged account is replaced");
@@ -63,7 +63,7 @@
     assert_eq!(node.send(&long).status, 431);
     let large = "POST /order/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: d\r\ncontent-length: 99999\r\n\r\n";
     assert_eq!(node.send(large).status, 413);
-    assert!(fleet.desk.runs().is_empty());
+    assert!(fleet.desk_runs().is_empty());
 }
 
 #[test]
@@ -89,26 +89,26 @@
 fn a_call_that_may_run_once_is_sent_once() {
     let fleet = Fleet::start("once", 1);
     let node = &fleet.nodes[0];
-    fleet.desk.set_trouble(EndpointTrouble::LostAnswer);
+    fleet.trouble_desks(EndpointTrouble::LostAnswer);
     let lost = node.send(&order_request("lost"));
     assert_eq!(lost.status, 502, "a call that may have run is not said to be not run");
     assert!(lost.body.contains("\"executed\":\"unknown\""));
-    assert_eq!(fleet.desk.runs().len(), 1);
-    fleet.desk.set_trouble(EndpointTrouble::Crossed);
+    assert_eq!(fleet.desk_runs().len(), 1);
+    fleet.trouble_desks(EndpointTrouble::Crossed);
     wait_until("the desk is tried again", || node.send(&order_request("crossed")).status == 502);
-    fleet.desk.set_trouble(EndpointTrouble::Full);
-    let before = fleet.desk.runs().len();
+    fleet.trouble_desks(EndpointTrouble::Full);
+    let before = fleet.desk_runs().len();
     wait_until("the desk says that it is full", || {
         let full = node.send(&order_request("full"));
         full.status == 503 && full.head.contains("retry-after: ")
     });
-    assert_eq!(fleet.desk.runs().len(), before);
+    assert_eq!(fleet.desk_runs().len(), before);
 }
 
 #[test]
 fn a_lookup_is_tried_again_and_a_failure_is_passed_on() {
     let fleet = Fleet::start("again", 1);
-    fleet.desk.set_trouble(EndpointTrouble::Failing);
+    fleet.trouble_desks(EndpointTrouble::Failing);
     let failed = fleet.nodes[0].send(&lookup_request("failed"));
     assert_eq!(failed.status, 500);
     assert!(failed.head.contains("response-seal"), "the endpoint's own failure: {failed:?}");
@@ -232,6 +232,33 @@
     assert_eq!(fleet.nodes[0].wait_end(), Some(0));
 }
 
+#[test]
+fn a_stopping_node_refuses_what_comes_late() {
+    let mut fleet = Fleet::start("late", 1);
+    for engine in &fleet.engines {
+        engine.set_event_pause(Duration::from_millis(800));
+    }
+    let node = &fleet.nodes[0];
+    let mut kept = TcpStream::connect(node.callers).expect("a connection");
+    kept.write_all(lookup_request("before").as_bytes()).expect("a request");
+    assert_eq!(read_answer(&mut kept).status, 200);
+    let mut stream = TcpStream::connect(node.callers).expect("a connection");
+    stream.write_all(stream_request("slow", 1_000).as_bytes()).expect("a request");
+    wait_until("the stream runs", || fleet.engines.iter().any(|engine| !engine.runs().is_empty()));
+    node.signal("-TERM");
+    wait_until("the node takes no more requests", || {
+        node.log_lines().iter().any(|line| line["msg"] == "node: closed to requests")
+    });
+    kept.write_all(order_request("late").as_bytes()).expect("a request");
+    let late = read_answer(&mut kept);
+    assert_eq!(late.status, 503, "{late:?}");
+    assert!(late.body.contains("\"executed\":\"no\"") && late.head.contains("connection: close"));
+    let slow = read_answer(&mut stream);
+    assert_eq!((slow.status, slow.is_whole), (200, true), "{slow:?}");
+    assert!(fleet.desk_runs().iter().all(|run| run.request_id != "late"));
+    assert_eq!(fleet.nodes[0].wait_end(), Some(0));
+}
+
 #[test]
 fn the_log_tells_the_way_of_a_request() {
     let fleet = Fleet::start("log", 1);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -5,18 +5,21 @@
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
 use apricotknot_standin::users_platform::EndpointServer;
+use apricotknot_standin::users_platform::EndpointTrouble;
 use apricotknot_standin::users_platform::MetadataServer;
+use apricotknot_standin::users_platform::RunRecord;
 use serde_json::Value;
 use serde_json::json;
 
@@ -26,6 +29,12 @@
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Address on which nodes listen.
+const NODE_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+/// Port that the next listener of a node gets.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
+
 /// Key of the only account.
 pub(crate) const KEY: &str = "key-one";
 
@@ -51,19 +60,20 @@
 pub(crate) struct Fleet {
     pub(crate) store: MetadataServer,
     pub(crate) engines: Vec<EndpointServer>,
-    pub(crate) desk: EndpointServer,
+    /// Endpoints of the plain service.
+    pub(crate) desks: Vec<EndpointServer>,
     pub(crate) nodes: Vec<Node>,
     pub(crate) version: u64,
 }
 
 impl Fleet {
-    /// Starts `nodes` nodes before two engines and one plain endpoint.
+    /// Starts `nodes` nodes before two engines and two plain endpoints.
     pub(crate) fn start(name: &str, nodes: usize) -> Self {
-        let store = MetadataServer::start(free_address()).expect("the store starts");
-        let engine = |id| EndpointServer::start(id, free_address()).expect("an engine starts");
+        let store = MetadataServer::start(any_port()).expect("the store starts");
+        let engine = |id| EndpointServer::start(id, any_port()).expect("an engine starts");
         let engines = vec![engine("engine-1"), engine("engine-2")];
-        let desk = EndpointServer::start("desk-1", free_address()).expect("the desk starts");
-        let mut fleet = Self { store, engines, desk, nodes: Vec::new(), version: 7 };
+        let desks = vec![engine("desk-1"), engine("desk-2")];
+        let mut fleet = Self { store, engines, desks, nodes: Vec::new(), version: 7 };
         fleet.announce_all();
         fleet.configure(&[KEY]);
         fleet.nodes = (0..nodes).map(|index| fleet.start_node(name, index)).collect();
@@ -78,7 +88,21 @@
         for (index, engine) in self.engines.iter().enumerate() {
             self.announce(&format!("engine-{}", index + 1), "model", engine, "ready");
         }
-        self.announce("desk-1", "desk", &self.desk, "ready");
+        for (index, desk) in self.desks.iter().enumerate() {
+            self.announce(&format!("desk-{}", index + 1), "desk", desk, "ready");
+        }
+    }
+
+    /// Sets what is wrong with all endpoints of the plain service.
+    pub(crate) fn trouble_desks(&self, trouble: EndpointTrouble) {
+        for desk in &self.desks {
+            desk.set_trouble(trouble);
+        }
+    }
+
+    /// Returns what the endpoints of the plain service ran.
+    pub(crate) fn desk_runs(&self) -> Vec<RunRecord> {
+        self.desks.iter().flat_map(EndpointServer::runs).collect()
     }
 
     /// Announces one endpoint.
@@ -100,14 +124,14 @@
     fn start_node(&self, name: &str, index: usize) -> Node {
         let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the node");
-        let (callers, operations) = (free_address(), free_address());
+        let (callers, operations) = (new_address(), new_address());
         let settings = dir.join("gateway.ini");
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
              callers = {callers}\noperations = {operations}\nnews = {}\nrevoke_ms = 3000\n\
              stop_s = 8\n\n[store]\naddress = {}\n\n[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
-            free_address(),
+            new_address(),
             self.store.address()
         );
         std::fs::write(&settings, text).expect("the settings are written");
@@ -263,9 +287,17 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns an address whose port the system chooses as it is bound.
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Returns an address for a process.
+///
+/// Connections go out from another loopback address, so none of them takes the port.
+fn new_address() -> SocketAddr {
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from((NODE_IP, port))
 }
 
 fn configuration(version: u64, keys: &[&str]) -> Value {
