--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -11,6 +11,7 @@
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementVerdict;
 use apricotknot_core::fleet::place;
+
 use fleet_play::ARCHIVE;
 use fleet_play::FleetPlay;
 use fleet_play::TICKET;
--- a/crates/apricotknot/tests/form.rs
+++ b/crates/apricotknot/tests/form.rs
@@ -132,6 +132,7 @@
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     let mut files = Vec::new();
     source_files(crates, &mut files);
+    source_files(&crates.parent().unwrap().join("platform"), &mut files);
     assert!(files.len() > 50, "the sources were not found");
     let faults: Vec<_> = files.iter().flat_map(|path| faults_of(path)).collect();
     let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -12,6 +12,7 @@
 
 use apricotknot_standin::users_platform::EndpointServer;
 use apricotknot_standin::users_platform::EndpointTrouble;
+
 use gateway_fleet::Fleet;
 use gateway_fleet::lookup_request;
 use gateway_fleet::order_request;
