endpoint: an answer that comes together with an informational head is read whole

Cause: after a 1xx head the loop read from the connection before it looked at what had already come; where the end of the connection was there too, a whole answer counted as cut. Ruled out: the test's endpoint (it sends the answer in one write).

--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -138,16 +138,19 @@
         }
     }
 
+    /// Reads the head of the final answer, if all of it has come.
     fn decode_head(&mut self) -> Result<Option<ResponseHead>, ExchangeError> {
         let AnswerBody::Waiting(codec) = &mut self.body else {
             return Ok(None);
         };
-        let Some(head) = codec.decode(&mut self.input).map_err(ExchangeError::Malformed)? else {
-            return Ok(None);
+        // The final head may have come together with one that only informs.
+        let head = loop {
+            match codec.decode(&mut self.input).map_err(ExchangeError::Malformed)? {
+                None => return Ok(None),
+                Some(head) if head.status.is_informational() => {},
+                Some(head) => break head,
+            }
         };
-        if head.status.is_informational() {
-            return Ok(None);
-        }
         let body = std::mem::replace(&mut self.body, AnswerBody::Ended);
         if let AnswerBody::Waiting(codec) = body {
             self.body = body_of(codec, &head);
--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -92,6 +92,22 @@
     }
 }
 
+/// All of the answer, and the end of the connection, are there before the first look.
+#[actix_rt::test]
+async fn an_answer_that_has_come_at_once_is_read_whole() {
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+    let (mut order, thread) = endpoint(text, 0, Ending::Closed);
+    order.body = Bytes::new();
+    let mut exchange =
+        EndpointExchange::open(&ServiceConfig::default(), order).await.expect("a connection");
+    // Blocks this thread on purpose: nothing is read meanwhile.
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(exchange.read_head().await.expect("a head").status.as_u16(), 200);
+    assert_eq!(exchange.read_part().await.expect("a part").as_deref(), Some(&b"whole"[..]));
+    drop(exchange);
+    thread.join().expect("the endpoint ends");
+}
+
 #[actix_rt::test]
 async fn bytes_after_an_answer_belong_to_nobody() {
     let text = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nextra";
