control: a data centre that lost all its endpoints is taken back by a full reading

Cause: a reading of all records asked only the data centres of known endpoints whether they are still emptied. One whose endpoints had all gone stayed out for ever if its return fell into a gap of the watch. Ruled out: the watch itself; a single change takes the centre back. Before: the new test fails (the centre is still out, a request is not placed). After: 16 of 16 tests of the control state pass.

--- a/crates/apricotknot-core/src/fleet/fleet_board.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -229,6 +229,11 @@
         self.regions.get(centre)
     }
 
+    /// Returns the data centres in which operators want no new work.
+    pub fn evacuated(&self) -> impl Iterator<Item = &DataCentreId> {
+        self.evacuated.iter()
+    }
+
     /// Returns whether operators want no new work in a data centre.
     pub fn is_evacuated(&self, centre: &str) -> bool {
         self.evacuated.contains(centre)
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -157,14 +157,15 @@
                 _ => {},
             }
         }
-        let known: Vec<_> = self.board.endpoints().map(|state| &state.entry).cloned().collect();
-        for entry in known {
-            if !endpoints.contains(&entry.id) {
-                self.lose_endpoint(entry.id, now);
-            }
-            if !centres_out.contains(&entry.data_centre) {
-                self.board.set_evacuated(entry.data_centre, false, now);
-            }
+        let known = self.board.endpoints().map(|state| &state.entry.id);
+        let gone: Vec<_> = known.filter(|id| !endpoints.contains(*id)).cloned().collect();
+        for endpoint in gone {
+            self.lose_endpoint(endpoint, now);
+        }
+        let known = self.board.evacuated();
+        let back: Vec<_> = known.filter(|id| !centres_out.contains(*id)).cloned().collect();
+        for centre in back {
+            self.board.set_evacuated(centre, false, now);
         }
         let present = registry.iter().filter_map(|change| match change {
             RegistryChange::Node(node, _) => Some(Arc::clone(node)),
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -246,6 +246,19 @@
     assert!(!node.state.board().is_evacuated("north"));
 }
 
+#[test]
+fn a_data_centre_that_lost_all_endpoints_is_seen_to_be_back_too() {
+    let mut node = Node::with_engines(1);
+    node.state.apply(vec![RecordChange::CentreOut("north".into())], Vec::new(), NOW);
+    let gone = RecordChange::EndpointGone("engine-0".into());
+    node.state.apply(vec![gone], Vec::new(), NOW);
+    node.state.load(Vec::new(), Vec::new(), NOW);
+    assert!(!node.state.board().is_evacuated("north"));
+    let announced = RecordChange::Endpoint(entry(0));
+    node.state.apply(vec![announced], Vec::new(), NOW);
+    granted(&mut node.ask(1_000, NOW));
+}
+
 #[test]
 fn crashes_that_other_nodes_saw_condemn_a_request() {
     let mut node = Node::with_engines(1);
