admission: a route or key is denied for good only by what is surely in force

Callers took 404 for final though another node had the route. Now the answer is 503 with a time to come back from apply_ms less 0.3 s on; keys that are known are let in as long as before. Ruled out: to refuse all after apply_ms, which turns away callers who are served. Beside it: side calls to engines (reservations, counts) limit their body as well.

--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -23,6 +23,7 @@
 pub use registry::RegistryChange;
 pub use runner::ControlParts;
 pub use runner::start_control;
+pub use shared::KnowledgeLimits;
 pub use shared::SharedState;
 pub use state::ControlState;
 pub use state::StateLimits;
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -10,6 +10,15 @@
 use apricotknot_core::types::MonotonicTime;
 use tokio::sync::watch;
 
+/// Holds how long what a node knows serves without being renewed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnowledgeLimits {
+    /// Age up to which a key that is known is let in.
+    pub admit: Duration,
+    /// Age up to which a route or key that is not known is denied for good.
+    pub deny: Duration,
+}
+
 /// Holds the configuration in force and how old the knowledge of it is.
 #[derive(Debug)]
 pub struct SharedState {
@@ -17,19 +26,19 @@
     known_at_ms: AtomicU64,
     is_stopping: AtomicBool,
     is_closed: AtomicBool,
-    max_age: Duration,
+    limits: KnowledgeLimits,
 }
 
 // Commands.
 impl SharedState {
-    /// Creates the state of a node that knows nothing; knowledge serves for `max_age`.
-    pub fn new(max_age: Duration) -> Self {
+    /// Creates the state of a node that knows nothing yet.
+    pub fn new(limits: KnowledgeLimits) -> Self {
         Self {
             desired: watch::Sender::new(None),
             known_at_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
-            max_age,
+            limits,
         }
     }
 
@@ -69,7 +78,12 @@
 
     /// Returns whether the knowledge is young enough to let a key in.
     pub fn is_fresh(&self, now: MonotonicTime) -> bool {
-        self.desired.borrow().is_some() && self.age(now) <= self.max_age
+        self.desired.borrow().is_some() && self.age(now) <= self.limits.admit
+    }
+
+    /// Returns whether the knowledge is young enough to say that a route or key does not exist.
+    pub fn may_deny(&self, now: MonotonicTime) -> bool {
+        self.desired.borrow().is_some() && self.age(now) <= self.limits.deny
     }
 
     /// Returns whether the node is about to stop.
--- a/crates/apricotknot-gateway/src/driver/call_record.rs
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -67,18 +67,18 @@
         let IncomingRequest { mut head, body } = request;
         let terms = context.protocol.read_call(&head).map_err(CallFault::BadTerms)?;
         let desired = context.shared.desired().ok_or(CallFault::Unready)?;
-        let is_fresh = context.shared.is_fresh(arrived);
+        let deny = |fault| if context.shared.may_deny(arrived) { fault } else { CallFault::Unready };
         let path = head.uri.path();
         let Some(route) = desired.routes.find(&host_of(&head), path).cloned() else {
-            return Err(if is_fresh { CallFault::NoRoute } else { CallFault::Unready });
+            return Err(deny(CallFault::NoRoute));
         };
         let account = terms.key.as_ref().and_then(|key| desired.keys.account(key)).cloned();
         let needs_key = !route.is_public && !desired.keys.is_empty();
-        if needs_key && !is_fresh {
+        if needs_key && !context.shared.is_fresh(arrived) {
             return Err(CallFault::Unready);
         }
         if needs_key && account.is_none() {
-            return Err(CallFault::UnknownKey);
+            return Err(deny(CallFault::UnknownKey));
         }
         let service = route.pick_service(rand::random()).cloned().ok_or(CallFault::Refused {
             reason: "the route has no service",
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -73,7 +73,7 @@
         T: RecordTranslator + Send,
         F: FnOnce(SocketAddr) -> S + Send + 'static,
     {
-        let shared = Arc::new(SharedState::new(settings.knowledge_time));
+        let shared = Arc::new(SharedState::new(settings.knowledge));
         let callers = listen(settings.callers)?;
         let operations = listen(settings.operations)?;
         let incarnation = incarnation_now();
--- a/crates/apricotknot-gateway/src/gateway_settings.rs
+++ b/crates/apricotknot-gateway/src/gateway_settings.rs
@@ -9,6 +9,8 @@
 use apricotknot_core::types::NodeId;
 use apricotknot_core::types::RegionId;
 
+use crate::control::KnowledgeLimits;
+
 /// Holds all that a gateway node is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -26,8 +28,8 @@
     pub store: SocketAddr,
     /// Region of each data centre.
     pub regions: BTreeMap<DataCentreId, RegionId>,
-    /// Longest time for which the knowledge of keys serves without being renewed.
-    pub knowledge_time: Duration,
+    /// How long what is known serves without being renewed.
+    pub knowledge: KnowledgeLimits,
     /// Time that a planned stop may take.
     pub stop_time: Duration,
     /// Repeats that all nodes together may send.
--- a/crates/apricotknot/src/engine/adapter.rs
+++ b/crates/apricotknot/src/engine/adapter.rs
@@ -74,7 +74,9 @@
         body: Bytes,
     ) -> Result<T, EngineError> {
         let sent = request.timeout(SIDE_TIMEOUT).send_body(body).await;
-        let mut response = sent.map_err(|error| classify_send(&error))?;
+        let response = sent.map_err(|error| classify_send(&error))?;
+        // The limit of the request holds for the head of the answer only.
+        let mut response = response.timeout(SIDE_TIMEOUT);
         if !response.status().is_success() {
             return Err(refuse(response.status(), response.headers()));
         }
--- a/crates/apricotknot/src/settings/gateway.rs
+++ b/crates/apricotknot/src/settings/gateway.rs
@@ -5,6 +5,7 @@
 
 use apricotknot_core::fleet::RetryShare;
 use apricotknot_gateway::GatewaySettings;
+use apricotknot_gateway::control::KnowledgeLimits;
 use ini::Ini;
 
 use super::LogSettings;
@@ -22,6 +23,9 @@
 /// Part of the time in which a key must be out of use that is left for requests under way.
 const REVOKE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Part of the time in which a configuration must be in force that is left for what may wait.
+const APPLY_MARGIN: Duration = Duration::from_millis(300);
+
 /// Holds everything that a gateway node learns from its file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewayFile {
@@ -68,6 +72,7 @@
     let regions = SectionReader::new(path, ini, "data_centres").names()?;
     let mut section = SectionReader::new(path, ini, "gateway");
     let revoke_time = section.milliseconds("revoke_ms", 5_000, 1_000..=600_000)?;
+    let apply_time = section.milliseconds("apply_ms", 3_000, 1_000..=600_000)?;
     let gateway = GatewaySettings {
         node: identity.name.clone(),
         data_centre: identity.data_centre.clone(),
@@ -76,7 +81,10 @@
         news: section.address("news")?,
         store: store_address,
         regions: regions.into_iter().collect(),
-        knowledge_time: revoke_time.saturating_sub(REVOKE_MARGIN),
+        knowledge: KnowledgeLimits {
+            admit: revoke_time.saturating_sub(REVOKE_MARGIN),
+            deny: apply_time.saturating_sub(APPLY_MARGIN),
+        },
         stop_time: seconds(&mut section, "stop_s", 8.0)?,
         retries: read_retries(SectionReader::new(path, ini, "retries"))?,
     };
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -169,6 +169,22 @@
     assert_eq!(fleet.nodes[0].send(&lookup_request("seeing")).status, 200);
 }
 
+/// A route or key that is not known may have been added meanwhile.
+#[test]
+fn a_node_without_the_store_denies_nothing_for_good() {
+    let fleet = Fleet::start_with("unsure", 1, "revoke_ms = 60000\napply_ms = 2500");
+    let node = &fleet.nodes[0];
+    let lost = "GET /none/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: a\r\n\r\n";
+    let strange = lookup_request("b").replace(gateway_fleet::KEY, "another");
+    assert_eq!((node.send(lost).status, node.send(&strange).status), (404, 401));
+    fleet.store.set_down(true);
+    wait_until("no route is denied", || node.send(lost).status == 503);
+    let unsure = node.send(&strange);
+    assert_eq!(unsure.status, 503);
+    assert!(unsure.head.contains("retry-after: "));
+    assert_eq!(node.send(&lookup_request("known")).status, 200);
+}
+
 #[test]
 fn a_node_reads_anew_when_history_is_gone() {
     let mut fleet = Fleet::start("compact", 1);
--- a/crates/apricotknot/tests/gateway_settings.rs
+++ b/crates/apricotknot/tests/gateway_settings.rs
@@ -21,8 +21,8 @@
 fn a_sound_file_is_read() {
     let file = parse(SOUND).expect("sound settings");
     assert_eq!(&*file.identity.name, "node-1");
-    assert!(file.gateway.knowledge_time < Duration::from_secs(5));
-    assert!(file.gateway.knowledge_time > Duration::from_secs(3));
+    assert!(file.gateway.knowledge.admit < Duration::from_secs(5));
+    assert!(file.gateway.knowledge.admit > Duration::from_secs(3));
     assert_eq!(file.gateway.stop_time, Duration::from_secs(8));
     assert_eq!(file.gateway.regions.len(), 1);
     assert!((file.gateway.retries.slack - 104.0).abs() < f64::EPSILON);
@@ -57,6 +57,7 @@
         ("{{ip}}", "10.1.0.40"),
         ("{{internalPorts.0}}", "7340"),
         ("{{bounds.revokeMs}}", "5000"),
+        ("{{bounds.configApplyMs}}", "3000"),
         ("{{bounds.graceS}}", "8"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetSlack}}", "104"),
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -69,6 +69,11 @@
 impl Fleet {
     /// Starts `nodes` nodes before two engines and two plain endpoints.
     pub(crate) fn start(name: &str, nodes: usize) -> Self {
+        Self::start_with(name, nodes, "revoke_ms = 3000")
+    }
+
+    /// Starts `nodes` nodes that have `limits` among their settings.
+    pub(crate) fn start_with(name: &str, nodes: usize, limits: &str) -> Self {
         let store = MetadataServer::start(any_port()).expect("the store starts");
         let engine = |id| EndpointServer::start(id, any_port()).expect("an engine starts");
         let engines = vec![engine("engine-1"), engine("engine-2")];
@@ -76,7 +81,7 @@
         let mut fleet = Self { store, engines, desks, nodes: Vec::new(), version: 7 };
         fleet.announce_all();
         fleet.configure(&[KEY]);
-        fleet.nodes = (0..nodes).map(|index| fleet.start_node(name, index)).collect();
+        fleet.nodes = (0..nodes).map(|index| fleet.start_node(name, index, limits)).collect();
         for node in &fleet.nodes {
             wait_until("a node is ready", || node.is_ready());
         }
@@ -121,14 +126,14 @@
         self.store.put("op/config", &configuration);
     }
 
-    fn start_node(&self, name: &str, index: usize) -> Node {
+    fn start_node(&self, name: &str, index: usize, limits: &str) -> Node {
         let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the node");
         let (callers, operations) = (new_address(), new_address());
         let settings = dir.join("gateway.ini");
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
-             callers = {callers}\noperations = {operations}\nnews = {}\nrevoke_ms = 3000\n\
+             callers = {callers}\noperations = {operations}\nnews = {}\n{limits}\n\
              stop_s = 8\n\n[store]\naddress = {}\n\n[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
             new_address(),
