driver: a failure elsewhere is not written into an answer that has begun

Cause: a stream that had begun and went on at another endpoint passed on whatever that endpoint answered. Now such an answer counts as one more failed attempt; the caller sees a cut. Ruled out: the fallback answer, which is only written before anything else. Before: the new test over processes sees two heads on one connection.

--- a/crates/apricotknot-gateway/src/driver/whole_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/whole_relay.rs
@@ -35,6 +35,13 @@
             }
         }
         self.runs += 1;
+        if self.has_begun {
+            // The caller has part of a stream, into which nothing else can be written.
+            open.guard.set_end(AttemptEnd::Failed);
+            self.note_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
+            self.excluded.push(open.endpoint);
+            return Err(CallBreak::Attempt(AttemptFault::MayHaveRun));
+        }
         let body = body.freeze();
         if head.status.is_server_error() {
             open.guard.set_end(AttemptEnd::Failed);
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -29,6 +29,8 @@
     None,
     /// It breaks the connection of a stream after so many events.
     CutAfter(u64),
+    /// It does so too, and answers streams that go on with a failure of its own.
+    CutAfterThenFail(u64),
     /// It says that it is full, and runs nothing.
     Full,
     /// It runs calls and breaks the connection before the answer.
@@ -258,10 +260,15 @@
         EndpointTrouble::Crossed => "another",
         _ => &record.request_id,
     };
-    let status = if trouble == EndpointTrouble::Failing { 500 } else { 200 };
+    let is_failing = match trouble {
+        EndpointTrouble::Failing => true,
+        EndpointTrouble::CutAfterThenFail(_) => record.last_event.is_some(),
+        _ => false,
+    };
+    let status = if is_failing { 500 } else { 200 };
     let reply = match call.header("token-count") {
-        Some(_) => HttpReply::stream("text/event-stream", events(record, trouble, pause, guard)),
-        None => {
+        Some(_) if !is_failing => HttpReply::stream("text/event-stream", events(record, trouble, pause, guard)),
+        _ => {
             guard.finish();
             HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer"))
         },
@@ -277,7 +284,9 @@
 ) -> impl Stream<Item = Result<Bytes, io::Error>> + 'static {
     let first = record.last_event.map_or(0, |last| last + 1);
     let cut_at = match trouble {
-        EndpointTrouble::CutAfter(count) => first + count,
+        EndpointTrouble::CutAfter(count) | EndpointTrouble::CutAfterThenFail(count) => {
+            first + count
+        },
         _ => u64::MAX,
     };
     unfold((first, guard), move |(number, mut guard)| async move {
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -14,6 +14,7 @@
 use apricotknot_standin::users_platform::EndpointTrouble;
 
 use gateway_fleet::Fleet;
+use gateway_fleet::exchange_raw;
 use gateway_fleet::lookup_request;
 use gateway_fleet::order_request;
 use gateway_fleet::read_answer;
@@ -86,6 +87,19 @@
     });
 }
 
+#[test]
+fn a_failure_elsewhere_is_not_written_into_an_answer_that_has_begun() {
+    let fleet = Fleet::start("begun", 1);
+    for engine in &fleet.engines {
+        engine.set_trouble(EndpointTrouble::CutAfterThenFail(2));
+    }
+    let raw = exchange_raw(fleet.nodes[0].callers, &stream_request("begun", 1_000));
+    assert_eq!(raw.matches("HTTP/1.1").count(), 1, "{raw}");
+    assert!(raw.contains("piece 1") && !raw.ends_with("0\r\n\r\n"), "{raw}");
+    let runs = fleet.engines.iter().flat_map(EndpointServer::runs);
+    assert!(runs.filter(|run| run.last_event.is_some()).count() > 0, "it was tried elsewhere");
+}
+
 #[test]
 fn a_call_that_may_run_once_is_sent_once() {
     let fleet = Fleet::start("once", 1);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -233,6 +233,19 @@
     read_answer(&mut stream)
 }
 
+/// Sends bytes on a new connection and reads all that comes until its end.
+pub(crate) fn exchange_raw(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a read timeout");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut bytes = Vec::new();
+    let mut part = [0; 4_096];
+    while let Ok(count @ 1..) = stream.read(&mut part) {
+        bytes.extend_from_slice(&part[..count]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Reads one answer.
 pub(crate) fn read_answer(stream: &mut TcpStream) -> Answer {
     let mut bytes = Vec::new();
