placement: nodes that choose at once prefer different endpoints

Cause: all nodes choose the same best endpoint, and do not see one another's choice for some 20 ms. Now each endpoint has a cost that differs by node, small against a real difference, and growing with the number of nodes.

--- a/crates/apricotknot-core/src/fleet/fleet_board.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_board.rs
@@ -18,6 +18,7 @@
 use super::WorkNews;
 use super::WorkPhase;
 use super::WorkRole;
+use crate::membership::hash_text;
 use crate::routing::ServiceProfile;
 use crate::types::AttemptId;
 use crate::types::DataCentreId;
@@ -43,6 +44,8 @@
     pub entry: EndpointEntry,
     /// What this node has seen of it.
     pub health: HealthRecord,
+    /// Place of the endpoint among equal ones in the eyes of this node, from 0 to 1.
+    pub preference: f64,
     gate: ColdGate,
 }
 
@@ -59,6 +62,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetBoard {
     endpoints: BTreeMap<EndpointId, EndpointState>,
+    /// Makes the preferences of this node different from those of others.
+    preference_seed: u64,
     evacuated: BTreeSet<DataCentreId>,
     regions: BTreeMap<DataCentreId, RegionId>,
     services: BTreeMap<ServiceId, ServiceProfile>,
@@ -70,9 +75,9 @@
 
 // Commands.
 impl FleetBoard {
-    /// Creates a board that knows the region of each data centre.
-    pub fn new(regions: BTreeMap<DataCentreId, RegionId>) -> Self {
-        Self { regions, nodes: 1, ..Self::default() }
+    /// Creates the board of `node`, which knows the region of each data centre.
+    pub fn new(node: &str, regions: BTreeMap<DataCentreId, RegionId>) -> Self {
+        Self { preference_seed: hash_text(0, node), regions, nodes: 1, ..Self::default() }
     }
 
     /// Takes in the services of a new configuration.
@@ -92,7 +97,9 @@
             _ => {
                 let id = Arc::clone(&entry.id);
                 let (health, gate) = (HealthRecord::default(), ColdGate::default());
-                self.endpoints.insert(id, EndpointState { entry, health, gate });
+                let hash = hash_text(self.preference_seed, &id) >> 32;
+                let preference = hash as f64 / f64::from(u32::MAX);
+                self.endpoints.insert(id, EndpointState { entry, health, preference, gate });
             },
         }
     }
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -39,6 +39,12 @@
 /// Part of an engine's memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.97;
 
+/// Cost of the endpoint that a node prefers least, for each other node that may choose at once.
+const SPREAD_PER_NODE: f64 = 0.004;
+
+/// Largest cost of the endpoint that a node prefers least.
+const MAX_SPREAD: f64 = 0.25;
+
 /// Time after which a caller that found no room is told to come back.
 const FULL_RETRY: Duration = Duration::from_millis(700);
 
@@ -135,12 +141,13 @@
     }
     let seat_count = eligible.len();
     let loads = sum_loads(board, now);
+    let spread = spread_among(board.nodes());
     let open = eligible
         .into_iter()
         .filter(|state| !state.health.is_paused(now) && board.admits_cold(state, now));
     let seats = open.map(|state| {
         let load = loads.get(&state.entry.id).cloned().unwrap_or_default();
-        seat_of(state, load, engine, now)
+        seat_of(state, load, engine, spread, now)
     });
     let plan = match engine {
         Some(engine) => best_plan(engine, seats.collect(), ask, now),
@@ -170,6 +177,7 @@
     state: &EndpointState,
     load: EndpointLoad,
     engine: Option<&EngineModel>,
+    spread: f64,
     now: MonotonicTime,
 ) -> ShareSeat {
     let memory = engine.map_or(0, |engine| (engine.memory as f64 * MEMORY_SHARE) as TokenCount);
@@ -180,15 +188,24 @@
         failures: state.health.failure_share(now),
         slowness: state.health.slowness(now),
         is_cold: now < state.entry.cold_until,
+        spread: state.preference * spread,
         load,
     }
 }
 
+/// Returns by how much the costs of endpoints differ between nodes.
+///
+/// Nodes that choose at the same moment do not see one another's choice yet. Without this, all of
+/// them would take the same endpoint.
+fn spread_among(nodes: usize) -> f64 {
+    (SPREAD_PER_NODE * nodes.saturating_sub(1) as f64).min(MAX_SPREAD)
+}
+
 /// Chooses the endpoint of a call of a plain service: the one with the fewest calls.
 fn best_plain(seats: Vec<ShareSeat>) -> Option<SharePlan> {
     let cost = |seat: &ShareSeat| {
         let share = f64::from(seat.load.running) / f64::from(seat.slots);
-        share * seat.slowness + seat.failures * FAILURE_COST
+        share * seat.slowness + seat.failures * FAILURE_COST + seat.spread
     };
     let best = seats.into_iter().min_by(|left, right| cost(left).total_cmp(&cost(right)))?;
     Some(SharePlan {
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -59,6 +59,8 @@
     /// How many times slower than expected the endpoint is.
     pub(super) slowness: f64,
     pub(super) is_cold: bool,
+    /// Cost that makes nodes choose differently among endpoints that are nearly equal.
+    pub(super) spread: f64,
     pub(super) load: EndpointLoad,
 }
 
@@ -180,7 +182,8 @@
 
 impl WeighedSeat<'_> {
     fn order(&self) -> (f64, Duration) {
-        (self.harm, self.helper_ready)
+        let spread = Duration::from_secs_f64(self.seat.spread / RENT);
+        (self.harm, self.helper_ready + spread)
     }
 }
 
@@ -220,6 +223,7 @@
             + value_of(ask.size.prompt) * TIME_COST * time
             + emptiness_cost(engine, load, ask)
             + value_of(missing)
+            + weighed.seat.spread
     };
     let places = weighed.iter().enumerate().filter(|(_, weighed)| has_place(weighed));
     let best = places.min_by(|left, right| cost(left.1).total_cmp(&cost(right.1)));
--- a/crates/apricotknot-core/src/membership/mod.rs
+++ b/crates/apricotknot-core/src/membership/mod.rs
@@ -46,3 +46,5 @@
 pub use table::MemberTable;
 pub use table::NodeStanding;
 pub use table::PeerTarget;
+
+pub(crate) use hash::hash_text;
--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -22,6 +22,9 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
+/// Time that news takes from node to node.
+const NEWS_DELAY: Duration = Duration::from_millis(2);
+
 fn sent(verdict: PlacementVerdict) -> PlacementPlan {
     match verdict {
         PlacementVerdict::Send(plan) => plan,
@@ -172,7 +175,7 @@
 /// The load: a burst of archives at 2.7 times the usual, and then one of tickets at 2.5 times.
 #[test]
 fn bursts_of_archives_and_tickets_are_served_on_time() {
-    let mut play = FleetPlay::new(14, 1);
+    let mut play = FleetPlay::new(14, 1, NEWS_DELAY);
     play.run(Duration::from_secs(10), &BTreeMap::from([("archive", 3.7), ("ticket", 10.0)]));
     play.run(Duration::from_secs(10), &BTreeMap::from([("archive", 0.1), ("ticket", 75.0)]));
     let archives = play.outcomes("archive");
@@ -185,9 +188,18 @@
 /// The same load over six nodes, each of which sees the work of the others a moment late.
 #[test]
 fn nodes_that_see_one_another_late_serve_nearly_as_well() {
-    let mut play = FleetPlay::new(14, 6);
+    let mut play = FleetPlay::new(14, 6, NEWS_DELAY);
     play.run(Duration::from_secs(10), &BTreeMap::from([("archive", 3.7), ("ticket", 10.0)]));
     play.run(Duration::from_secs(10), &BTreeMap::from([("archive", 0.1), ("ticket", 75.0)]));
     assert!(play.outcomes("archive").on_time_share() >= 0.5, "{:?}", play.outcomes("archive"));
     assert!(play.outcomes("ticket").on_time_share() >= 0.85, "{:?}", play.outcomes("ticket"));
 }
+
+/// The load: a burst of tickets that reaches 71 nodes of a tenth of a core, each of which sees
+/// the work of the others 20 ms late, when six more have been placed.
+#[test]
+fn many_nodes_do_not_choose_the_same_engine_at_once() {
+    let mut play = FleetPlay::new(78, 71, Duration::from_millis(20));
+    play.run(Duration::from_secs(3), &BTreeMap::from([("ticket", 310.0)]));
+    assert!(play.outcomes("ticket").on_time_share() >= 0.95, "{:?}", play.outcomes("ticket"));
+}
--- a/crates/apricotknot-core/tests/support/fleet_play.rs
+++ b/crates/apricotknot-core/tests/support/fleet_play.rs
@@ -20,9 +20,6 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-/// Time that news takes from node to node.
-const NEWS_DELAY: Duration = Duration::from_millis(2);
-
 /// Step of the played time.
 const STEP: Duration = Duration::from_millis(2);
 
@@ -96,8 +93,12 @@
 }
 
 pub(crate) fn board(engines: usize) -> FleetBoard {
+    board_of("node-0", engines)
+}
+
+fn board_of(node: &str, engines: usize) -> FleetBoard {
     let regions = (0..3).map(|index| (format!("centre-{index}").into(), "here".into()));
-    let mut board = FleetBoard::new(regions.collect());
+    let mut board = FleetBoard::new(node, regions.collect());
     let profile = ServiceProfile {
         cold_time: Duration::from_secs(3),
         cold_rate: 26.0,
@@ -150,6 +151,8 @@
     boards: Vec<FleetBoard>,
     /// News on its way, with the moment at which it is there.
     news: Vec<(Duration, LoadNews)>,
+    /// Time that news takes from node to node.
+    news_delay: Duration,
     reads: BTreeMap<String, Duration>,
     waiting: Vec<Waiting>,
     running: Vec<Running>,
@@ -159,11 +162,17 @@
 }
 
 impl FleetPlay {
-    pub(crate) fn new(engines: usize, nodes: usize) -> Self {
+    pub(crate) fn new(engines: usize, nodes: usize, news_delay: Duration) -> Self {
+        let boards = (0..nodes).map(|node| {
+            let mut board = board_of(&format!("node-{node}"), engines);
+            board.set_nodes(nodes);
+            board
+        });
         Self {
             now: Duration::from_secs(100),
-            boards: (0..nodes).map(|_| board(engines)).collect(),
+            boards: boards.collect(),
             news: Vec::new(),
+            news_delay,
             reads: BTreeMap::new(),
             waiting: Vec::new(),
             running: Vec::new(),
@@ -277,7 +286,7 @@
             waits: Vec::new(),
             crashes: Vec::new(),
         };
-        self.news.push((self.now + NEWS_DELAY, news));
+        self.news.push((self.now + self.news_delay, news));
     }
 
     fn deliver(&mut self) {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -102,11 +102,11 @@
     ) -> Self {
         Self {
             handle,
+            board: FleetBoard::new(&node, regions),
             node,
             incarnation,
             sequence: 0,
             limits,
-            board: FleetBoard::new(regions),
             registry: NodeRegistry::default(),
             crashes: CrashBook::default(),
             suspects: Vec::new(),
