control: fewer calls to the key-value service as the system grows

Each of 71 nodes renewed a lease every 2 s, and came back 300 ms after each change, which wakes all of them. Now leases last 12 s and are renewed every 4 s, a planned stop ends its lease, and the shortest time between two calls grows by 12 ms a node up to 0.9 s; a change after a pause is still seen at once. The lease's end is tested over processes; the stand-in learned the call for it.

--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -40,10 +40,10 @@
 const MEMORY_SHARE: f64 = 0.97;
 
 /// Cost of the endpoint that a node prefers least, for each other node that may choose at once.
-const SPREAD_PER_NODE: f64 = 0.004;
+const SPREAD_PER_NODE: f64 = 0.008;
 
 /// Largest cost of the endpoint that a node prefers least.
-const MAX_SPREAD: f64 = 0.25;
+const MAX_SPREAD: f64 = 0.5;
 
 /// Time after which a caller that found no room is told to come back.
 const FULL_RETRY: Duration = Duration::from_millis(700);
--- a/crates/apricotknot-gateway/src/control/announcer.rs
+++ b/crates/apricotknot-gateway/src/control/announcer.rs
@@ -1,11 +1,13 @@
 //! Announces a node in the key-value service for as long as it lives.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tokio::sync::Notify;
 
 use super::NodeRecord;
 use super::registry::node_key;
@@ -18,10 +20,10 @@
 use crate::store::SwapRequest;
 
 /// Time for which a node that has died stays announced.
-const LEASE_TIME: Duration = Duration::from_secs(6);
+const LEASE_TIME: Duration = Duration::from_secs(12);
 
 /// Time between two renewals.
-const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+const RENEW_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -34,22 +36,32 @@
     store: S,
     node: NodeId,
     record: NodeRecord,
+    /// Told once the node is to be withdrawn.
+    stop: Rc<Notify>,
     logger: Logger,
 }
 
 impl<S: MetadataStore> NodeAnnouncer<S> {
-    pub(super) fn new(store: S, node: NodeId, record: NodeRecord, logger: Logger) -> Self {
-        Self { store, node, record, logger }
+    pub(super) fn new(
+        store: S,
+        node: NodeId,
+        record: NodeRecord,
+        stop: Rc<Notify>,
+        logger: Logger,
+    ) -> Self {
+        Self { store, node, record, stop, logger }
     }
 
-    /// Keeps the node announced until the task is dropped.
+    /// Keeps the node announced until it is to be withdrawn.
     pub(super) async fn run(self) {
         self.make_secret().await;
         loop {
             match self.announce().await {
                 Ok(lease) => {
                     info!(self.logger, "registry: node announced"; "lease" => lease);
-                    self.keep(lease).await;
+                    if self.keep(lease).await {
+                        return self.withdraw(lease).await;
+                    }
                     warn!(self.logger, "registry: lease ended"; "lease" => lease);
                 },
                 Err(error) => {
@@ -89,17 +101,28 @@
         Ok(lease)
     }
 
-    /// Renews the lease until it has ended.
-    async fn keep(&self, lease: LeaseId) {
+    /// Renews the lease until it has ended; returns whether the node is to be withdrawn.
+    async fn keep(&self, lease: LeaseId) -> bool {
         loop {
-            tokio::time::sleep(RENEW_INTERVAL).await;
+            tokio::select! {
+                () = self.stop.notified() => return true,
+                () = tokio::time::sleep(RENEW_INTERVAL) => {},
+            }
             match self.store.keep_lease(lease).await {
                 Ok(true) => {},
-                Ok(false) => return,
+                Ok(false) => return false,
                 Err(error) => {
                     warn!(self.logger, "registry: lease not renewed"; "error" => %error);
                 },
             }
         }
     }
+
+    /// Ends the lease, so that other nodes need not wait until it has run out.
+    async fn withdraw(&self, lease: LeaseId) {
+        match self.store.end_lease(lease).await {
+            Ok(()) => info!(self.logger, "registry: node withdrawn"; "lease" => lease),
+            Err(error) => warn!(self.logger, "registry: node not withdrawn"; "error" => %error),
+        }
+    }
 }
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -109,5 +109,8 @@
         fingerprint: Fingerprint,
     },
     /// The node stops.
-    Stop,
+    Stop {
+        /// Told once the node is withdrawn.
+        done: oneshot::Sender<()>,
+    },
 }
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -1,5 +1,7 @@
 //! Follows the key-value service: reads all of it once, then waits for changes.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use apricotknot_core::types::MonotonicTime;
@@ -23,7 +25,15 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Shortest time between two calls, so that changes which come bunched are read together.
-const CALL_INTERVAL: Duration = Duration::from_millis(300);
+const MIN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest of these times.
+const MAX_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Part of the time between two calls that each node of the system adds.
+///
+/// All nodes are woken by each change, and the service answers only so many calls.
+const INTERVAL_PER_NODE: Duration = Duration::from_millis(12);
 
 /// Pause after the first failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -70,13 +80,23 @@
     translator: T,
     clock: BootClock,
     events: mpsc::Sender<FeedEvent>,
+    /// Number of nodes that follow the service.
+    nodes: Rc<Cell<usize>>,
     failures: u32,
 }
 
 impl<S: MetadataStore, T: RecordTranslator> StateFeed<S, T> {
     /// Creates the feed that reads from `store`.
-    pub fn new(store: S, translator: T, clock: BootClock, events: mpsc::Sender<FeedEvent>) -> Self {
-        Self { store, translator, clock, events, failures: 0 }
+    ///
+    /// `nodes` is the number of nodes that follow the service, as far as known.
+    pub fn new(
+        store: S,
+        translator: T,
+        clock: BootClock,
+        events: mpsc::Sender<FeedEvent>,
+        nodes: Rc<Cell<usize>>,
+    ) -> Self {
+        Self { store, translator, clock, events, nodes, failures: 0 }
     }
 
     /// Follows the service until nobody takes the events any more.
@@ -116,7 +136,7 @@
                     let took = self.clock.now().saturating_sub(sent);
                     let as_of = sent + proven_time(batch.events.is_empty(), took);
                     self.tell_changes(&batch.events, as_of).await;
-                    tokio::time::sleep(CALL_INTERVAL.saturating_sub(took)).await;
+                    tokio::time::sleep(call_interval(self.nodes.get()).saturating_sub(took)).await;
                 },
                 Err(error) if error.kind() == StoreErrorKind::Compacted => return,
                 Err(error) => {
@@ -180,6 +200,12 @@
     }
 }
 
+/// Returns the shortest time between two calls of one of `nodes` nodes.
+fn call_interval(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    INTERVAL_PER_NODE.saturating_mul(nodes).clamp(MIN_INTERVAL, MAX_INTERVAL)
+}
+
 /// Returns how long after a call was sent its answer was surely true.
 ///
 /// The service answers with nothing only after it has waited, and with changes at any time.
--- a/crates/apricotknot-gateway/src/control/handle.rs
+++ b/crates/apricotknot-gateway/src/control/handle.rs
@@ -30,6 +30,14 @@
         let _ = self.sender.send(command);
     }
 
+    /// Ends the control thread, and waits until it has withdrawn the node.
+    pub async fn stop(&self) {
+        let (done, ended) = oneshot::channel();
+        self.tell(ControlCommand::Stop { done });
+        // A closed channel means that the thread has ended before.
+        let _ = ended.await;
+    }
+
     /// Asks for an endpoint; dropping the reply withdraws the question.
     pub fn place(&self, request: PlacementRequest) -> PlacementReply {
         let (reply, receiver) = oneshot::channel();
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -1,8 +1,10 @@
 //! The control thread's loop: inputs go to the control state, its effects are carried out.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -16,7 +18,10 @@
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use super::ControlCommand;
 use super::ControlHandle;
@@ -43,6 +48,9 @@
 /// Longest time between two messages to other nodes.
 const NEWS_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest time that the end of the thread waits until the node is withdrawn.
+const WITHDRAW_TIME: Duration = Duration::from_millis(300);
+
 /// Events of the key-value service that may wait to be taken in.
 const FEED_CAPACITY: usize = 64;
 
@@ -109,7 +117,12 @@
     clock: BootClock,
     commands: mpsc::UnboundedReceiver<ControlCommand>,
     feed: mpsc::Receiver<FeedEvent>,
+    /// Number of nodes, for the feed.
+    nodes: Rc<Cell<usize>>,
     socket: UdpSocket,
+    /// Keeps the node announced, until it is told to stop.
+    announcing: JoinHandle<()>,
+    stop: Rc<Notify>,
     seal: Option<NewsSeal>,
     shared: Arc<SharedState>,
     logger: Logger,
@@ -126,12 +139,26 @@
         let clock = BootClock;
         let socket = UdpSocket::bind(parts.news_address).await?;
         let (events, feed) = mpsc::channel(FEED_CAPACITY);
-        actix_rt::spawn(StateFeed::new(parts.store.clone(), parts.translator, clock, events).run());
+        let nodes = Rc::new(Cell::new(1));
+        let follower = StateFeed::new(
+            parts.store.clone(),
+            parts.translator,
+            clock,
+            events,
+            Rc::clone(&nodes),
+        );
+        actix_rt::spawn(follower.run());
         let record = NodeRecord { address: parts.news_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
-        actix_rt::spawn(
-            NodeAnnouncer::new(parts.store, Arc::clone(&parts.node), record, logger).run(),
+        let stop = Rc::new(Notify::new());
+        let announcer = NodeAnnouncer::new(
+            parts.store,
+            Arc::clone(&parts.node),
+            record,
+            Rc::clone(&stop),
+            logger,
         );
+        let announcing = actix_rt::spawn(announcer.run());
         let node = Arc::clone(&parts.node);
         let state =
             ControlState::new(handle, parts.node, parts.incarnation, parts.regions, parts.limits);
@@ -142,6 +169,9 @@
             commands,
             feed,
             socket,
+            nodes,
+            announcing,
+            stop,
             seal: None,
             shared: parts.shared,
             logger: parts.logger,
@@ -157,7 +187,12 @@
             let idle = if self.state.has_waiting() { BUSY_TICK } else { IDLE_TICK };
             tokio::select! {
                 count = self.commands.recv_many(&mut batch, COMMAND_BATCH) => {
-                    if count == 0 || self.handle_batch(&mut batch) {
+                    if count == 0 {
+                        return;
+                    }
+                    if let Some(done) = self.handle_batch(&mut batch) {
+                        self.withdraw().await;
+                        let _ = done.send(());
                         return;
                     }
                 },
@@ -172,15 +207,23 @@
         }
     }
 
-    fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> bool {
+    /// Takes in commands; returns whom to tell once the thread has ended, if it is to end.
+    fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> Option<oneshot::Sender<()>> {
         for command in batch.drain(..) {
-            if matches!(command, ControlCommand::Stop) {
-                return true;
+            if let ControlCommand::Stop { done } = command {
+                return Some(done);
             }
             self.state.handle(command, self.clock.now());
             self.has_news = true;
         }
-        false
+        None
+    }
+
+    async fn withdraw(&mut self) {
+        self.stop.notify_one();
+        if tokio::time::timeout(WITHDRAW_TIME, &mut self.announcing).await.is_err() {
+            warn!(self.logger, "registry: node not withdrawn"; "error" => "no answer in time");
+        }
     }
 
     fn handle_feed(&mut self, event: FeedEvent) {
@@ -219,6 +262,7 @@
             );
             self.shared.set_desired(desired);
         }
+        self.nodes.set(self.state.registry().count());
         self.shared.confirm(as_of);
         if self.seal.is_none() {
             self.seal = self.state.secret().and_then(NewsSeal::new);
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -136,7 +136,7 @@
                 self.suspects.retain(|(_, note)| note.fingerprint != fingerprint);
                 self.crashes.clear(fingerprint);
             },
-            ControlCommand::Stop => {},
+            ControlCommand::Stop { .. } => {},
         }
     }
 
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -20,7 +20,6 @@
 use crate::GatewayMetrics;
 use crate::GatewaySettings;
 use crate::clock::BootClock;
-use crate::control::ControlCommand;
 use crate::control::ControlParts;
 use crate::control::SharedState;
 use crate::control::StateLimits;
@@ -129,7 +128,7 @@
         }
         let cut = self.open_calls();
         info!(self.context.logger, "node: stopped"; "cut" => cut);
-        self.context.control.tell(ControlCommand::Stop);
+        self.context.control.stop().await;
         cut
     }
 
--- a/crates/apricotknot-standin/src/users_platform/metadata.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -120,6 +120,10 @@
                 Some(Ok(lease)) if self.lock().keep(lease) => HttpReply::json(200, &json!({})),
                 _ => HttpReply::json(404, &json!({})),
             },
+            ("DELETE", path) => match path.strip_prefix("/kv-lease-end/").map(str::parse) {
+                Some(Ok(lease)) if self.lock().end(lease) => HttpReply::json(200, &json!({})),
+                _ => HttpReply::json(404, &json!({})),
+            },
             _ => HttpReply::json(404, &json!({})),
         }
     }
--- a/crates/apricotknot-standin/src/users_platform/metadata_state.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -89,6 +89,16 @@
         true
     }
 
+    /// Ends a lease; returns whether it was there.
+    pub(super) fn end(&mut self, lease: i64) -> bool {
+        let Some((_, end)) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        *end = Instant::now();
+        self.expire();
+        true
+    }
+
     /// Ends the leases that have run out; returns whether keys were removed.
     pub(super) fn expire(&mut self) -> bool {
         let now = Instant::now();
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -261,6 +261,8 @@
     assert_eq!((slow.status, slow.is_whole), (200, true), "{slow:?}");
     assert_eq!(slow.body, whole_stream());
     assert_eq!(fleet.nodes[0].wait_end(), Some(0));
+    // Other nodes need not wait until the lease has run out.
+    assert!(fleet.store.keys("apricotknot/nodes/").is_empty());
 }
 
 #[test]
