--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -39,7 +39,10 @@
 /// Part of an engine's memory that requests may fill.
 const MEMORY_SHARE: f64 = 0.97;
 
-/// Cost of the endpoint that a node prefers least, for each other node that may choose at once.
+/// Nodes that hear of one another's choices before they choose themselves.
+const NODES_IN_STEP: usize = 10;
+
+/// Cost of the endpoint that a node prefers least, for each node beyond those.
 const SPREAD_PER_NODE: f64 = 0.008;
 
 /// Largest cost of the endpoint that a node prefers least.
@@ -198,7 +201,7 @@
 /// Nodes that choose at the same moment do not see one another's choice yet. Without this, all of
 /// them would take the same endpoint.
 fn spread_among(nodes: usize) -> f64 {
-    (SPREAD_PER_NODE * nodes.saturating_sub(1) as f64).min(MAX_SPREAD)
+    (SPREAD_PER_NODE * nodes.saturating_sub(NODES_IN_STEP) as f64).min(MAX_SPREAD)
 }
 
 /// Chooses the endpoint of a call of a plain service: the one with the fewest calls.
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -140,13 +140,8 @@
         let socket = UdpSocket::bind(parts.news_address).await?;
         let (events, feed) = mpsc::channel(FEED_CAPACITY);
         let nodes = Rc::new(Cell::new(1));
-        let follower = StateFeed::new(
-            parts.store.clone(),
-            parts.translator,
-            clock,
-            events,
-            Rc::clone(&nodes),
-        );
+        let follower =
+            StateFeed::new(parts.store.clone(), parts.translator, clock, events, Rc::clone(&nodes));
         actix_rt::spawn(follower.run());
         let record = NodeRecord { address: parts.news_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
--- a/crates/apricotknot-gateway/src/driver/call_record.rs
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -67,7 +67,8 @@
         let IncomingRequest { mut head, body } = request;
         let terms = context.protocol.read_call(&head).map_err(CallFault::BadTerms)?;
         let desired = context.shared.desired().ok_or(CallFault::Unready)?;
-        let deny = |fault| if context.shared.may_deny(arrived) { fault } else { CallFault::Unready };
+        let deny =
+            |fault| if context.shared.may_deny(arrived) { fault } else { CallFault::Unready };
         let path = head.uri.path();
         let Some(route) = desired.routes.find(&host_of(&head), path).cloned() else {
             return Err(deny(CallFault::NoRoute));
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -267,7 +267,9 @@
     };
     let status = if is_failing { 500 } else { 200 };
     let reply = match call.header("token-count") {
-        Some(_) if !is_failing => HttpReply::stream("text/event-stream", events(record, trouble, pause, guard)),
+        Some(_) if !is_failing => {
+            HttpReply::stream("text/event-stream", events(record, trouble, pause, guard))
+        },
         _ => {
             guard.finish();
             HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer"))
