--- a/crates/apricotknot-gateway/src/driver/call_record.rs
+++ b/crates/apricotknot-gateway/src/driver/call_record.rs
@@ -51,7 +51,7 @@
 }
 
 impl CallRecord {
-    /// Admits a request that was read at `arrived`.
+    /// Admits a request that was read at `arrived` and says `terms` of itself.
     ///
     /// # Errors
     ///
@@ -59,13 +59,13 @@
     pub fn admit<P: CallProtocol>(
         context: &TrafficContext<P>,
         request: IncomingRequest,
+        terms: CallTerms,
         arrived: MonotonicTime,
     ) -> Result<Self, CallFault> {
         if context.shared.is_closed() {
             return Err(CallFault::Stopping);
         }
         let IncomingRequest { mut head, body } = request;
-        let terms = context.protocol.read_call(&head).map_err(CallFault::BadTerms)?;
         let desired = context.shared.desired().ok_or(CallFault::Unready)?;
         let deny =
             |fault| if context.shared.may_deny(arrived) { fault } else { CallFault::Unready };
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -1,5 +1,7 @@
 //! The requests of one caller's connection, one after the other.
 
+use std::sync::Arc;
+
 use actix_rt::net::TcpStream;
 use slog::info;
 
@@ -66,10 +68,19 @@
 
     async fn drive(&mut self, request: IncomingRequest) -> CallEnd {
         let arrived = self.context.clock.now();
-        match CallRecord::admit(&self.context, request, arrived) {
+        let terms = match self.context.protocol.read_call(&request.head) {
+            Ok(terms) => terms,
+            Err(error) => {
+                let fault = CallFault::BadTerms(error);
+                self.refuse(&fault, None);
+                return CallEnd::Fault(fault);
+            },
+        };
+        let id = Arc::clone(&terms.request_id);
+        match CallRecord::admit(&self.context, request, terms, arrived) {
             Ok(call) => CallDriver::new(&self.context, &mut self.connection, call).run().await,
             Err(fault) => {
-                self.refuse(&fault);
+                self.refuse(&fault, Some(&id));
                 CallEnd::Fault(fault)
             },
         }
@@ -85,22 +96,26 @@
             ConnectionError::Malformed => CallFault::Malformed,
         };
         self.connection.close_after_answer();
-        self.refuse(&fault);
+        self.refuse(&fault, None);
     }
 
-    fn refuse(&mut self, fault: &CallFault) {
+    /// Answers a request that is not admitted, with its id where it has one.
+    fn refuse(&mut self, fault: &CallFault, id: Option<&str>) {
         let labels = CallLabels { kind: NO_KIND, outcome: fault.name() };
         self.context.metrics.calls.get_or_create(&labels).inc();
         let now = self.context.clock.now();
         info!(
             self.context.logger, "call: refused";
-            "outcome" => fault.name(), "cause" => %fault,
+            "request" => id.unwrap_or_default(), "outcome" => fault.name(), "cause" => %fault,
             "knowledge_ms" => millis(self.context.shared.age(now))
         );
         if self.context.shared.is_stopping() {
             self.connection.close_after_answer();
         }
-        let (head, body) = fault.answer();
+        let (mut head, body) = fault.answer();
+        if let Some(id) = id {
+            self.context.protocol.write_refusal(&mut head, id);
+        }
         // A caller that is gone needs no refusal.
         let _ = self.connection.answer(&head, body);
     }
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -68,7 +69,8 @@
     trouble: EndpointTrouble,
     event_pause: Duration,
     runs: Vec<RunRecord>,
-    reservations: BTreeMap<String, u64>,
+    /// Tokens of each, and the moment at which they are free again.
+    reservations: BTreeMap<String, (u64, Instant)>,
     released: usize,
     /// Streams whose reader left before their end.
     abandoned: usize,
@@ -156,7 +158,10 @@
 
     /// Returns the memory that is set aside, in tokens.
     pub fn reserved(&self) -> u64 {
-        self.lock().reservations.values().sum()
+        let now = Instant::now();
+        let state = self.lock();
+        let held = state.reservations.values().filter(|(_, end)| *end > now);
+        held.map(|(tokens, _)| tokens).sum()
     }
 
     /// Returns how many reservations were released.
@@ -218,7 +223,9 @@
         let mut state = self.lock();
         match body["op"].as_str() {
             Some("reserve") => {
-                state.reservations.insert(id, body["tokens"].as_u64().unwrap_or(0));
+                let hold = Duration::from_millis(body["holdMs"].as_u64().unwrap_or(0));
+                let tokens = body["tokens"].as_u64().unwrap_or(0);
+                state.reservations.insert(id, (tokens, Instant::now() + hold));
             },
             Some("release") => {
                 state.released += usize::from(state.reservations.remove(&id).is_some());
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
+#[allow(dead_code, reason = "shared with the soak")]
 #[path = "support/gateway_fleet.rs"]
 mod gateway_fleet;
 
@@ -20,11 +21,7 @@
 use gateway_fleet::read_answer;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
-
-fn whole_stream() -> String {
-    let events = 0..EndpointServer::event_count();
-    events.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
-}
+use gateway_fleet::whole_stream;
 
 #[test]
 fn calls_are_served_by_each_node() {
@@ -56,6 +53,7 @@
     let node = &fleet.nodes[0];
     let lost = node.send("GET /none/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: a\r\n\r\n");
     assert_eq!(lost.status, 404);
+    assert!(lost.head.contains("request-id: a"), "a refusal names its request: {lost:?}");
     let strange = lookup_request("b").replace(gateway_fleet::KEY, "another");
     assert_eq!(node.send(&strange).status, 401);
     let nameless = "GET /lookup/x HTTP/1.1\r\nhost: shop.example\r\n\r\n";
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -1,11 +1,13 @@
 //! Gateway nodes as processes, before a stand-in platform.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -46,6 +48,8 @@
     /// Body without the framing of chunks.
     pub(crate) body: String,
     pub(crate) is_whole: bool,
+    /// Whether bytes came that are no part of an answer.
+    pub(crate) is_garbled: bool,
 }
 
 /// A gateway process.
@@ -53,6 +57,7 @@
     child: Child,
     pub(crate) callers: SocketAddr,
     pub(crate) operations: SocketAddr,
+    settings: PathBuf,
     pub(crate) log: PathBuf,
 }
 
@@ -64,6 +69,8 @@
     pub(crate) desks: Vec<EndpointServer>,
     pub(crate) nodes: Vec<Node>,
     pub(crate) version: u64,
+    /// Where endpoints and the store are reached, in place of their own addresses.
+    wires: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl Fleet {
@@ -72,13 +79,33 @@
         Self::start_with(name, nodes, "revoke_ms = 3000")
     }
 
+    /// Starts `nodes` nodes that reach all else at the addresses that `wire` gives.
+    pub(crate) fn start_wired(
+        name: &str,
+        nodes: usize,
+        wire: impl FnMut(SocketAddr) -> SocketAddr,
+    ) -> Self {
+        Self::start_all(name, nodes, "revoke_ms = 3000", wire)
+    }
+
     /// Starts `nodes` nodes that have `limits` among their settings.
     pub(crate) fn start_with(name: &str, nodes: usize, limits: &str) -> Self {
+        Self::start_all(name, nodes, limits, |address| address)
+    }
+
+    fn start_all(
+        name: &str,
+        nodes: usize,
+        limits: &str,
+        mut wire: impl FnMut(SocketAddr) -> SocketAddr,
+    ) -> Self {
         let store = MetadataServer::start(any_port()).expect("the store starts");
         let engine = |id| EndpointServer::start(id, any_port()).expect("an engine starts");
         let engines = vec![engine("engine-1"), engine("engine-2")];
         let desks = vec![engine("desk-1"), engine("desk-2")];
-        let mut fleet = Self { store, engines, desks, nodes: Vec::new(), version: 7 };
+        let endpoints = engines.iter().chain(&desks).map(EndpointServer::address);
+        let wires = endpoints.chain([store.address()]).map(|real| (real, wire(real))).collect();
+        let mut fleet = Self { store, engines, desks, nodes: Vec::new(), version: 7, wires };
         fleet.announce_all();
         fleet.configure(&[KEY]);
         fleet.nodes = (0..nodes).map(|index| fleet.start_node(name, index, limits)).collect();
@@ -113,7 +140,7 @@
     /// Announces one endpoint.
     pub(crate) fn announce(&self, id: &str, service: &str, server: &EndpointServer, state: &str) {
         let entry = json!({
-            "service": service, "addr": server.address().to_string(), "zone": "north",
+            "service": service, "addr": self.wires[&server.address()].to_string(), "zone": "north",
             "slots": 4, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1,
         });
         self.store.put(&format!("servers/{id}"), &entry);
@@ -137,23 +164,27 @@
              stop_s = 8\n\n[store]\naddress = {}\n\n[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
             new_address(),
-            self.store.address()
+            self.wires[&self.store.address()]
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = dir.join("log.jsonl");
-        let output = File::create(&log).expect("the log is made");
-        let child = Command::new(env!("CARGO_BIN_EXE_apricotknot"))
-            .arg("gateway")
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the node starts");
-        Node { child, callers, operations, log }
+        let child = start_process(&settings, &log);
+        Node { child, callers, operations, settings, log }
     }
 }
 
+fn start_process(settings: &Path, log: &Path) -> Child {
+    let output = File::options().create(true).append(true).open(log).expect("the log is made");
+    Command::new(env!("CARGO_BIN_EXE_apricotknot"))
+        .arg("gateway")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the node starts")
+}
+
 impl Node {
     /// Sends a request of a caller and reads the answer.
     pub(crate) fn send(&self, request: &str) -> Answer {
@@ -181,6 +212,18 @@
         code.and_then(|status| status.code())
     }
 
+    /// Returns whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Ends the process, if it has not ended yet, and starts it again.
+    pub(crate) fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = start_process(&self.settings, &self.log);
+    }
+
     /// Returns the lines of the log.
     pub(crate) fn log_lines(&self) -> Vec<Value> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
@@ -210,6 +253,12 @@
     request(id, "GET", "/lookup/x?y=1", "", "")
 }
 
+/// Returns the whole text of each stream.
+pub(crate) fn whole_stream() -> String {
+    let events = 0..EndpointServer::event_count();
+    events.map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
 fn request(id: &str, method: &str, target: &str, more: &str, body: &str) -> String {
     let length = match body.len() {
         0 => String::new(),
@@ -268,32 +317,33 @@
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let head = head.to_ascii_lowercase();
     let status = head.split(' ').nth(1)?.parse().ok()?;
-    let (body, is_whole) = if head.contains("transfer-encoding: chunked") {
+    let (body, is_whole, is_garbled) = if head.contains("transfer-encoding: chunked") {
         join_chunks(rest)
     } else {
         let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
         let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
-        (rest.to_owned(), rest.len() >= length)
+        (rest.to_owned(), rest.len() >= length, rest.len() > length)
     };
-    Some(Answer { status, head, body, is_whole })
+    Some(Answer { status, head, body, is_whole, is_garbled })
 }
 
-fn join_chunks(mut rest: &str) -> (String, bool) {
+/// Returns the body, whether it is whole, and whether it is spoiled.
+fn join_chunks(mut rest: &str) -> (String, bool, bool) {
     let mut body = String::new();
     while let Some((size, after)) = rest.split_once("\r\n") {
         let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
-            return (body, false);
+            return (body, false, true);
         };
         if size == 0 {
-            return (body, true);
+            return (body, true, false);
         }
         if after.len() < size + 2 {
-            return (body, false);
+            return (body, false, false);
         }
         body.push_str(&after[..size]);
         rest = &after[size + 2..];
     }
-    (body, false)
+    (body, false, false)
 }
 
 /// Waits until `is_met`, and fails the test after a long time.
