control: the queue of waiting requests is a type of its own

A newcomer had to read order, rank and news of waiting requests out of the middle of the control state. No decision changes; the same tests pass, two of them now share their set-up.

--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -32,6 +32,21 @@
     }
 }
 
+/// Lets `engine-0` write so many short streams.
+fn write_short_streams(board: &mut FleetBoard, count: u128) {
+    let short = PlacementPlan {
+        endpoint: "engine-0".into(),
+        memory: 5_000,
+        helpers: Vec::new(),
+        read_time: Duration::ZERO,
+        expected: Duration::ZERO,
+    };
+    for attempt in 0..count {
+        board.begin(attempt, &ask(&TICKET, NOW), &short, NOW);
+        board.note_writing(attempt, NOW);
+    }
+}
+
 #[test]
 fn a_short_prompt_is_read_by_one_engine() {
     let board = board(4);
@@ -75,17 +90,7 @@
 #[test]
 fn short_streams_are_spared_by_long_reads() {
     let mut board = board(4);
-    let short = PlacementPlan {
-        endpoint: "engine-0".into(),
-        memory: 5_000,
-        helpers: Vec::new(),
-        read_time: Duration::ZERO,
-        expected: Duration::ZERO,
-    };
-    for attempt in 0..6 {
-        board.begin(attempt, &ask(&TICKET, NOW), &short, NOW);
-        board.note_writing(attempt, NOW);
-    }
+    write_short_streams(&mut board, 6);
     let plan = sent(place(&board, &ask(&ARCHIVE, NOW), 0, NOW));
     assert_ne!(&*plan.endpoint, "engine-0", "{plan:?}");
     assert!(plan.helpers.iter().all(|part| &*part.endpoint != "engine-0"), "{plan:?}");
@@ -105,17 +110,7 @@
 #[test]
 fn a_long_prompt_that_would_only_harm_others_is_refused_in_the_end() {
     let mut board = board(1);
-    let short = PlacementPlan {
-        endpoint: "engine-0".into(),
-        memory: 5_000,
-        helpers: Vec::new(),
-        read_time: Duration::ZERO,
-        expected: Duration::ZERO,
-    };
-    for attempt in 0..14 {
-        board.begin(attempt, &ask(&TICKET, NOW), &short, NOW);
-        board.note_writing(attempt, NOW);
-    }
+    write_short_streams(&mut board, 14);
     let mut request = ask(&ARCHIVE, NOW);
     request.size.prompt = 100_000;
     assert_eq!(place(&board, &request, 0, NOW), PlacementVerdict::Wait);
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod runner;
 mod shared;
 mod state;
+mod wait_queue;
 
 pub use command::ControlCommand;
 pub use command::EndpointGrant;
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -15,7 +15,6 @@
 use apricotknot_core::fleet::PlacementVerdict;
 use apricotknot_core::fleet::RetryShare;
 use apricotknot_core::fleet::RetryWindow;
-use apricotknot_core::fleet::WaitNews;
 use apricotknot_core::fleet::place;
 use apricotknot_core::routing::DesiredState;
 use apricotknot_core::types::AttemptId;
@@ -25,7 +24,6 @@
 use apricotknot_core::types::NodeId;
 use apricotknot_core::types::RegionId;
 use apricotknot_core::types::ServiceId;
-use tokio::sync::oneshot;
 
 use super::AttemptGuard;
 use super::ControlCommand;
@@ -36,6 +34,9 @@
 use super::PlacementRefusal;
 use super::PlacementRequest;
 use super::RegistryChange;
+use super::wait_queue::PlacementSender;
+use super::wait_queue::WaitQueue;
+use super::wait_queue::WaitingRequest;
 use crate::protocol::RecordChange;
 
 /// Time after the key-value service is back in which endpoints announce themselves again.
@@ -57,15 +58,6 @@
     pub retries: RetryShare,
 }
 
-type PlacementSender = oneshot::Sender<Result<EndpointGrant, PlacementRefusal>>;
-
-/// Holds a request that waits for an endpoint.
-#[derive(Debug)]
-struct WaitingRequest {
-    request: Box<PlacementRequest>,
-    reply: PlacementSender,
-}
-
 /// Holds what a node knows, and decides where its requests go.
 #[derive(Debug)]
 pub struct ControlState {
@@ -81,7 +73,7 @@
     /// Requests whose connections broke, with the endpoints that may have crashed.
     suspects: Vec<(MonotonicTime, CrashNote)>,
     windows: BTreeMap<ServiceId, RetryWindow>,
-    waiting: Vec<WaitingRequest>,
+    waiting: WaitQueue,
     desired: Option<Arc<DesiredState>>,
     secret: Option<Vec<u8>>,
     is_store_lost: bool,
@@ -111,7 +103,7 @@
             crashes: CrashBook::default(),
             suspects: Vec::new(),
             windows: BTreeMap::new(),
-            waiting: Vec::new(),
+            waiting: WaitQueue::default(),
             desired: None,
             secret: None,
             is_store_lost: false,
@@ -226,7 +218,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             works: self.board.work_news(now),
-            waits: self.wait_news(now),
+            waits: self.waiting.news(now),
             crashes: self.crashes.news(now),
         }
     }
@@ -254,15 +246,7 @@
     }
 
     fn place_waiting(&mut self, now: MonotonicTime) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|waiting| !waiting.reply.is_closed());
-        // Those that can still be answered on time go first: one that waited for longer gains
-        // nothing by it, and would only make the next one late too.
-        waiting.sort_by_key(|waiting| {
-            let ask = &waiting.request.ask;
-            (now >= ask.arrived + ask.target_latency, ask.arrived)
-        });
-        for request in waiting {
+        for request in self.waiting.take_all(now) {
             let rank = self.rank(&request.request.ask, now);
             if let Some(request) = self.try_place(request, rank, now) {
                 self.waiting.push(request);
@@ -273,14 +257,11 @@
     /// Counts the requests that come before `ask`: older ones, at any node, that are no larger.
     fn rank(&self, ask: &PlacementAsk, now: MonotonicTime) -> usize {
         let age = now.saturating_sub(ask.arrived);
-        let own = self.waiting.iter().map(|waiting| &waiting.request.ask);
-        let own =
-            own.filter(|other| other.arrived < ask.arrived && other.size.prompt <= ask.size.prompt);
         let peers = self
             .board
             .peer_waits(now)
             .filter(|(_, prompt, waited)| *waited > age && *prompt <= ask.size.prompt);
-        own.count() + peers.count()
+        self.waiting.count_before(ask) + peers.count()
     }
 
     /// Places a request if it can be; returns it if it has to wait.
@@ -421,19 +402,6 @@
             self.board.remove_endpoint(&endpoint);
         }
     }
-
-    fn wait_news(&self, now: MonotonicTime) -> Vec<WaitNews> {
-        let told = self.waiting.iter().take(FleetBoard::max_waits_told());
-        told.map(|waiting| {
-            let ask = &waiting.request.ask;
-            WaitNews {
-                prompt: u32::try_from(ask.size.prompt).unwrap_or(u32::MAX),
-                age_ms: u32::try_from(now.saturating_sub(ask.arrived).as_millis())
-                    .unwrap_or(u32::MAX),
-            }
-        })
-        .collect()
-    }
 }
 
 // Queries.
