--- a/crates/apricotknot/src/gateway.rs
+++ b/crates/apricotknot/src/gateway.rs
@@ -19,30 +19,22 @@
 use tokio::signal::unix::signal;
 
 use crate::EXIT_NODE;
-use crate::EXIT_SETTINGS;
+use crate::or_report;
+use crate::report_valid;
 
 /// Checks a gateway's settings file.
 pub(crate) fn check(file: &Path) -> ExitCode {
-    match GatewayFile::read(file) {
-        Ok(settings) => {
-            println!("{}: settings of node {} are valid", file.display(), settings.identity.name);
-            ExitCode::SUCCESS
-        },
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(EXIT_SETTINGS)
-        },
+    match or_report(GatewayFile::read(file)) {
+        Ok(settings) => report_valid(file, &settings.identity),
+        Err(code) => code,
     }
 }
 
 /// Runs a gateway node until SIGTERM.
 pub(crate) fn run(file: &Path) -> ExitCode {
-    let settings = match GatewayFile::read(file) {
+    let settings = match or_report(GatewayFile::read(file)) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
-        },
+        Err(code) => return code,
     };
     let logger = build_logger(&settings.log, &settings.identity, stdout());
     actix_rt::System::new().block_on(serve(settings, file, logger))
--- a/crates/apricotknot/src/main.rs
+++ b/crates/apricotknot/src/main.rs
@@ -9,6 +9,8 @@
 
 use apricotknot::NodeProcess;
 use apricotknot::NodeSettings;
+use apricotknot::settings::NodeIdentity;
+use apricotknot::settings::SettingsError;
 use apricotknot::telemetry::build_logger;
 use clap::Arg;
 use clap::ArgMatches;
@@ -19,7 +21,7 @@
 use tokio::signal::unix::signal;
 
 /// Exit code of a settings file that is wrong.
-pub(crate) const EXIT_SETTINGS: u8 = 2;
+const EXIT_SETTINGS: u8 = 2;
 
 /// Exit code of a node that cannot run.
 pub(crate) const EXIT_NODE: u8 = 1;
@@ -61,25 +63,30 @@
 }
 
 fn check(file: &Path) -> ExitCode {
-    match NodeSettings::read(file) {
-        Ok(settings) => {
-            println!("{}: settings of node {} are valid", file.display(), settings.identity.name);
-            ExitCode::SUCCESS
-        },
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(EXIT_SETTINGS)
-        },
+    match or_report(NodeSettings::read(file)) {
+        Ok(settings) => report_valid(file, &settings.identity),
+        Err(code) => code,
     }
 }
 
+/// Returns what a settings file says, or tells the operator what is wrong with it.
+fn or_report<T>(read: Result<T, SettingsError>) -> Result<T, ExitCode> {
+    read.map_err(|error| {
+        eprintln!("error: {error}");
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+/// Tells the operator that a settings file is valid.
+fn report_valid(file: &Path, identity: &NodeIdentity) -> ExitCode {
+    println!("{}: settings of node {} are valid", file.display(), identity.name);
+    ExitCode::SUCCESS
+}
+
 fn run(file: &Path) -> ExitCode {
-    let settings = match NodeSettings::read(file) {
+    let settings = match or_report(NodeSettings::read(file)) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
-        },
+        Err(code) => return code,
     };
     let logger = build_logger(&settings.log, &settings.identity, stderr());
     let node = match NodeProcess::start(&settings, logger) {
