control: calls to the key-value service come at most 0.4 s apart

One lost call (2.5 s) after such a pause is more than the 3 s that a drain may take; with 0.4 s it is not.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -27,8 +27,9 @@
 /// Shortest time between two calls, so that changes which come bunched are read together.
 const MIN_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Longest of these times.
-const MAX_INTERVAL: Duration = Duration::from_millis(900);
+/// Longest of these times; a call that is lost takes 2.5 s more, and leaving endpoints have to be
+/// known within 3 s.
+const MAX_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Part of the time between two calls that each node of the system adds.
 ///
