driver: one way to wait for the next step of an answer; a stream is guarded at its head

Cause: the wait for a silent endpoint stood three times (head, whole answers, events), each with its own patience. Now next_step serves all three, and the head of a failure that cannot follow a begun stream is refused where unsound heads are. The attempt ends as before (failed, by its status, may have run); its body is no longer waited for, so one that breaks off there is no longer held against the request as a sign of a crash.

--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -24,7 +24,7 @@
     pub(super) _memory: ReservationSet,
     /// Connection to the endpoint.
     pub(super) exchange: EndpointExchange,
-    /// Longest silence until the answer begins.
+    /// Longest silence until the next step of the answer.
     pub(super) patience: Option<Duration>,
     /// Time after which the answer was expected to begin.
     pub(super) expected: Duration,
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -212,16 +212,10 @@
     }
 
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallBreak> {
-        loop {
-            let patience = open.patience;
-            match self.unless_broken(open.exchange.read_head(), patience).await {
-                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
-                    open.patience = None;
-                },
-                Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
-                Ok(Err(error)) => return Err(self.lose(open, &error)),
-                Ok(Ok(head)) => return self.check_head(open, head),
-            }
+        match self.next_step(&mut open, EndpointExchange::read_head).await {
+            Err(reason) => Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
+            Ok(Err(error)) => Err(self.lose(open, &error)),
+            Ok(Ok(head)) => self.check_head(open, head),
         }
     }
 
@@ -243,11 +237,14 @@
         }
         let is_ours = terms.request_id.as_deref() == Some(&*self.call.terms.request_id);
         let is_sound = terms.is_sealed && is_ours && !head.headers.contains_key(CONTENT_ENCODING);
-        if is_sound {
+        // Into a stream that has begun, only the rest of it can be written.
+        let may_follow = !self.has_begun || head.status.is_success();
+        if is_sound && may_follow {
             return Ok(AnsweredAttempt { open, head });
         }
         open.guard.set_end(AttemptEnd::Failed);
-        self.note_attempt(&open.endpoint, AttemptEnd::Failed, "unsound head");
+        let cause = if is_sound { head.status.as_str() } else { "unsound head" };
+        self.note_attempt(&open.endpoint, AttemptEnd::Failed, cause);
         self.excluded.push(open.endpoint);
         self.runs += 1;
         Err(CallBreak::Attempt(AttemptFault::MayHaveRun))
@@ -379,6 +376,25 @@
 
     // Waiting
 
+    /// Waits for the next step of an answer.
+    ///
+    /// Where the endpoint is silent for too long, another one is looked for; if there is none, the
+    /// silent one is waited for without that limit.
+    pub(super) async fn next_step<T>(
+        &mut self,
+        open: &mut OpenAttempt,
+        step: impl AsyncFn(&mut EndpointExchange) -> T,
+    ) -> Result<T, WaitBreak> {
+        loop {
+            match self.unless_broken(step(&mut open.exchange), open.patience).await {
+                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
+                    open.patience = None;
+                },
+                ended => return ended,
+            }
+        }
+    }
+
     /// Waits for `work` unless the caller leaves, time runs out, or it is silent for too long.
     pub(super) async fn unless_broken<F: Future>(
         &mut self,
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -8,9 +8,9 @@
 use super::attempt::AnsweredAttempt;
 use super::attempt::CallBreak;
 use super::attempt::OpenAttempt;
-use super::attempt::WaitBreak;
 use super::call_driver::CallDriver;
 use crate::caller::hop_free;
+use crate::endpoint::EndpointExchange;
 use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
 use crate::endpoint::StreamEvent;
@@ -38,13 +38,9 @@
     ) -> Result<(), CallBreak> {
         let AnsweredAttempt { mut open, head } = answered;
         let mut splitter = EventSplitter::default();
-        let mut patience = open.patience;
         let mut is_first = true;
         loop {
-            match self.unless_broken(open.exchange.read_part(), patience).await {
-                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
-                    patience = None;
-                },
+            match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
                 Ok(Err(error)) => return Err(self.lose(open, &error)),
                 Ok(Ok(None)) if splitter.is_empty() => break,
@@ -54,7 +50,7 @@
             while let Some(event) = splitter.next_event() {
                 if std::mem::take(&mut is_first) {
                     self.note_begun(&open);
-                    patience = patience.and(self.pause_patience());
+                    open.patience = open.patience.and(self.pause_patience());
                 }
                 if !self.is_next(&event) {
                     return Err(self.lose(open, &ExchangeError::MalformedBody));
--- a/crates/apricotknot-gateway/src/driver/whole_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/whole_relay.rs
@@ -6,8 +6,8 @@
 use super::attempt::AnsweredAttempt;
 use super::attempt::AttemptFault;
 use super::attempt::CallBreak;
-use super::attempt::WaitBreak;
 use super::call_driver::CallDriver;
+use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
 use crate::protocol::CallProtocol;
 
@@ -20,11 +20,7 @@
         let AnsweredAttempt { mut open, head } = answered;
         let mut body = BytesMut::new();
         loop {
-            let patience = open.patience;
-            match self.unless_broken(open.exchange.read_part(), patience).await {
-                Err(WaitBreak::Silence) if !self.find_other(&open.endpoint).await => {
-                    open.patience = None;
-                },
+            match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => return Err(self.stop_attempt(open.guard, &open.endpoint, reason)),
                 Ok(Err(error)) => return Err(self.lose(open, &error)),
                 Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_HELD_BYTES => {
@@ -35,13 +31,6 @@
             }
         }
         self.runs += 1;
-        if self.has_begun {
-            // The caller has part of a stream, into which nothing else can be written.
-            open.guard.set_end(AttemptEnd::Failed);
-            self.note_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
-            self.excluded.push(open.endpoint);
-            return Err(CallBreak::Attempt(AttemptFault::MayHaveRun));
-        }
         let body = body.freeze();
         if head.status.is_server_error() {
             open.guard.set_end(AttemptEnd::Failed);
