control: what the key-value service says is one value

Cause: the platform's records and the system's own went through the feed, its two events, load and apply as a pair of vectors, and the reading of one change built two vectors of its own to be appended. StoreNews holds both; entries are read into it. No decision changes; the tests of the control state keep their assertions.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -9,10 +9,9 @@
 use rand::RngExt;
 use tokio::sync::mpsc;
 
-use super::RegistryChange;
+use super::StoreNews;
 use super::registry;
 use crate::clock::BootClock;
-use crate::protocol::RecordChange;
 use crate::protocol::RecordTranslator;
 use crate::protocol::TranslationError;
 use crate::store::MetadataStore;
@@ -53,19 +52,15 @@
 pub enum FeedEvent {
     /// All that the service held.
     Snapshot {
-        /// What the platform's records say.
-        records: Vec<RecordChange>,
-        /// What the system's own records say.
-        registry: Vec<RegistryChange>,
+        /// What it held.
+        news: StoreNews,
         /// Moment at which this was true.
         as_of: MonotonicTime,
     },
     /// What has changed since.
     Changes {
-        /// What the platform's records say.
-        records: Vec<RecordChange>,
-        /// What the system's own records say.
-        registry: Vec<RegistryChange>,
+        /// What has changed.
+        news: StoreNews,
         /// Moment at which nothing else had changed.
         as_of: MonotonicTime,
     },
@@ -119,8 +114,11 @@
             },
             Ok(range) => {
                 self.failures = 0;
-                let (records, registry) = self.read_entries(&range.entries).await;
-                self.send(FeedEvent::Snapshot { records, registry, as_of }).await;
+                let mut news = StoreNews::default();
+                for entry in &range.entries {
+                    self.read_entry(entry, &mut news).await;
+                }
+                self.send(FeedEvent::Snapshot { news, as_of }).await;
                 Some(range.revision)
             },
         }
@@ -151,39 +149,25 @@
     }
 
     async fn tell_changes(&mut self, events: &[WatchEvent], as_of: MonotonicTime) {
-        let mut records = Vec::new();
-        let mut registry = Vec::new();
+        let mut news = StoreNews::default();
         for event in events {
             match event {
-                WatchEvent::Put(entry) => {
-                    let (written, own) = self.read_entries(std::slice::from_ref(entry)).await;
-                    records.extend(written);
-                    registry.extend(own);
-                },
+                WatchEvent::Put(entry) => self.read_entry(entry, &mut news).await,
                 WatchEvent::Delete { key, .. } => {
-                    records.extend(self.translator.read_removed(key));
-                    registry.extend(registry::read_removed(key));
+                    news.records.extend(self.translator.read_removed(key));
+                    news.registry.extend(registry::read_removed(key));
                 },
             }
         }
-        self.send(FeedEvent::Changes { records, registry, as_of }).await;
+        self.send(FeedEvent::Changes { news, as_of }).await;
     }
 
-    async fn read_entries(
-        &mut self,
-        entries: &[StoreEntry],
-    ) -> (Vec<RecordChange>, Vec<RegistryChange>) {
-        let now = self.clock.now();
-        let mut records = Vec::new();
-        let mut own = Vec::new();
-        for entry in entries {
-            own.extend(registry::read_written(&entry.key, &entry.value));
-            match self.translator.read_written(&entry.key, &entry.value, now) {
-                Ok(record) => records.extend(record),
-                Err(error) => self.send(FeedEvent::Skipped(error)).await,
-            }
+    async fn read_entry(&self, entry: &StoreEntry, news: &mut StoreNews) {
+        news.registry.extend(registry::read_written(&entry.key, &entry.value));
+        match self.translator.read_written(&entry.key, &entry.value, self.clock.now()) {
+            Ok(record) => news.records.extend(record),
+            Err(error) => self.send(FeedEvent::Skipped(error)).await,
         }
-        (records, own)
     }
 
     async fn fail(&mut self, error: StoreError) {
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod runner;
 mod shared;
 mod state;
+mod store_news;
 mod wait_queue;
 
 pub use command::ControlCommand;
@@ -28,3 +29,4 @@
 pub use shared::SharedState;
 pub use state::ControlState;
 pub use state::StateLimits;
+pub use store_news::StoreNews;
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -224,16 +224,16 @@
     fn handle_feed(&mut self, event: FeedEvent) {
         let now = self.clock.now();
         let (newest, as_of) = match event {
-            FeedEvent::Snapshot { records, registry, as_of } => {
+            FeedEvent::Snapshot { news, as_of } => {
                 info!(
                     self.logger, "control: store read";
-                    "records" => records.len(), "nodes" => registry.len()
+                    "records" => news.records.len(), "nodes" => news.registry.len()
                 );
-                (self.state.load(records, registry, now), as_of)
+                (self.state.load(news, now), as_of)
             },
-            FeedEvent::Changes { records, registry, as_of } => {
-                self.log_changes(&records);
-                (self.state.apply(records, registry, now), as_of)
+            FeedEvent::Changes { news, as_of } => {
+                self.log_changes(&news.records);
+                (self.state.apply(news, now), as_of)
             },
             FeedEvent::Skipped(error) => {
                 warn!(self.logger, "control: record skipped"; "error" => %error);
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -34,6 +34,7 @@
 use super::PlacementRefusal;
 use super::PlacementRequest;
 use super::RegistryChange;
+use super::StoreNews;
 use super::wait_queue::PlacementSender;
 use super::wait_queue::WaitQueue;
 use super::wait_queue::WaitingRequest;
@@ -133,16 +134,11 @@
     }
 
     /// Takes in all that the key-value service holds; returns a configuration to put in force.
-    pub fn load(
-        &mut self,
-        records: Vec<RecordChange>,
-        registry: Vec<RegistryChange>,
-        now: MonotonicTime,
-    ) -> Option<Arc<DesiredState>> {
+    pub fn load(&mut self, news: StoreNews, now: MonotonicTime) -> Option<Arc<DesiredState>> {
         self.note_store(now);
         let mut endpoints = BTreeSet::new();
         let mut centres_out = BTreeSet::new();
-        for record in &records {
+        for record in &news.records {
             match record {
                 RecordChange::Endpoint(entry) => _ = endpoints.insert(Arc::clone(&entry.id)),
                 RecordChange::CentreOut(centre) => _ = centres_out.insert(Arc::clone(centre)),
@@ -159,27 +155,22 @@
         for centre in back {
             self.board.set_evacuated(centre, false, now);
         }
-        let present = registry.iter().filter_map(|change| match change {
+        let present = news.registry.iter().filter_map(|change| match change {
             RegistryChange::Node(node, _) => Some(Arc::clone(node)),
             _ => None,
         });
         self.registry.retain(&present.collect::<Vec<_>>(), now);
-        self.apply(records, registry, now)
+        self.apply(news, now)
     }
 
     /// Takes in changes; returns a configuration to put in force.
-    pub fn apply(
-        &mut self,
-        records: Vec<RecordChange>,
-        registry: Vec<RegistryChange>,
-        now: MonotonicTime,
-    ) -> Option<Arc<DesiredState>> {
+    pub fn apply(&mut self, news: StoreNews, now: MonotonicTime) -> Option<Arc<DesiredState>> {
         self.note_store(now);
-        for change in registry {
+        for change in news.registry {
             self.apply_registry(change, now);
         }
         let mut newest = None;
-        for record in records {
+        for record in news.records {
             newest = self.apply_record(record, now).or(newest);
         }
         newest
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -26,6 +26,7 @@
 use apricotknot_gateway::control::PlacementRequest;
 use apricotknot_gateway::control::RegistryChange;
 use apricotknot_gateway::control::StateLimits;
+use apricotknot_gateway::control::StoreNews;
 use apricotknot_gateway::protocol::RecordChange;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -58,7 +59,7 @@
         let mut node = Self::new();
         let records = (0..count).map(|index| RecordChange::Endpoint(entry(index)));
         let desired = RecordChange::Configuration(Box::new(desired(1)));
-        node.state.load(records.chain([desired]).collect(), Vec::new(), NOW);
+        node.state.load(news_of(records.chain([desired]).collect()), NOW);
         node
     }
 
@@ -134,6 +135,14 @@
     DesiredState { version, services, ..DesiredState::default() }
 }
 
+fn news_of(records: Vec<RecordChange>) -> StoreNews {
+    StoreNews { records, ..StoreNews::default() }
+}
+
+fn registry_news(registry: Vec<RegistryChange>) -> StoreNews {
+    StoreNews { registry, ..StoreNews::default() }
+}
+
 fn granted(reply: &mut Reply) -> EndpointGrant {
     reply.try_recv().expect("an answer").expect("a grant")
 }
@@ -201,13 +210,13 @@
     let mut node = Node::with_engines(1);
     let apply = |node: &mut Node, version| {
         let record = RecordChange::Configuration(Box::new(desired(version)));
-        node.state.apply(vec![record], Vec::new(), NOW).map(|desired| desired.version)
+        node.state.apply(news_of(vec![record]), NOW).map(|desired| desired.version)
     };
     assert_eq!(apply(&mut node, 9), Some(9));
     assert_eq!(apply(&mut node, 8), None);
     assert_eq!(apply(&mut node, 9), None);
     let record = RecordChange::Configuration(Box::new(desired(5)));
-    assert!(node.state.load(vec![record], Vec::new(), NOW).is_none());
+    assert!(node.state.load(news_of(vec![record]), NOW).is_none());
 }
 
 #[test]
@@ -216,14 +225,14 @@
     assert!(node.state.lose_store());
     assert!(!node.state.lose_store(), "it is told once");
     let back = NOW + Duration::from_secs(5);
-    node.state.load(vec![RecordChange::Endpoint(entry(0))], Vec::new(), back);
+    node.state.load(news_of(vec![RecordChange::Endpoint(entry(0))]), back);
     assert_eq!(node.state.board().endpoints().count(), 2, "it may be back in a moment");
     let announced = RecordChange::Endpoint(entry(1));
-    node.state.apply(vec![announced], Vec::new(), back + Duration::from_secs(1));
+    node.state.apply(news_of(vec![announced]), back + Duration::from_secs(1));
     node.settle(back + Duration::from_secs(4));
     assert_eq!(node.state.board().endpoints().count(), 2, "it is back");
     let gone = RecordChange::EndpointGone("engine-1".into());
-    node.state.apply(vec![gone], Vec::new(), back + Duration::from_secs(4));
+    node.state.apply(news_of(vec![gone]), back + Duration::from_secs(4));
     assert_eq!(node.state.board().endpoints().count(), 1, "it left while the store was there");
 }
 
@@ -232,7 +241,7 @@
     let mut node = Node::with_engines(2);
     node.state.lose_store();
     let back = NOW + Duration::from_secs(5);
-    node.state.load(vec![RecordChange::Endpoint(entry(0))], Vec::new(), back);
+    node.state.load(news_of(vec![RecordChange::Endpoint(entry(0))]), back);
     node.settle(back + Duration::from_secs(3));
     assert_eq!(node.state.board().endpoints().count(), 1);
 }
@@ -240,22 +249,22 @@
 #[test]
 fn a_data_centre_that_is_back_is_seen_in_a_new_reading() {
     let mut node = Node::with_engines(1);
-    node.state.apply(vec![RecordChange::CentreOut("north".into())], Vec::new(), NOW);
+    node.state.apply(news_of(vec![RecordChange::CentreOut("north".into())]), NOW);
     assert!(node.state.board().is_evacuated("north"));
-    node.state.load(vec![RecordChange::Endpoint(entry(0))], Vec::new(), NOW);
+    node.state.load(news_of(vec![RecordChange::Endpoint(entry(0))]), NOW);
     assert!(!node.state.board().is_evacuated("north"));
 }
 
 #[test]
 fn a_data_centre_that_lost_all_endpoints_is_seen_to_be_back_too() {
     let mut node = Node::with_engines(1);
-    node.state.apply(vec![RecordChange::CentreOut("north".into())], Vec::new(), NOW);
+    node.state.apply(news_of(vec![RecordChange::CentreOut("north".into())]), NOW);
     let gone = RecordChange::EndpointGone("engine-0".into());
-    node.state.apply(vec![gone], Vec::new(), NOW);
-    node.state.load(Vec::new(), Vec::new(), NOW);
+    node.state.apply(news_of(vec![gone]), NOW);
+    node.state.load(news_of(Vec::new()), NOW);
     assert!(!node.state.board().is_evacuated("north"));
     let announced = RecordChange::Endpoint(entry(0));
-    node.state.apply(vec![announced], Vec::new(), NOW);
+    node.state.apply(news_of(vec![announced]), NOW);
     granted(&mut node.ask(1_000, NOW));
 }
 
@@ -286,7 +295,7 @@
     node.settle(NOW);
     for index in 0..3 {
         let gone = RecordChange::EndpointGone(format!("engine-{index}").into());
-        node.state.apply(vec![gone], Vec::new(), NOW);
+        node.state.apply(news_of(vec![gone]), NOW);
     }
     let refusal = node.ask(1_000, NOW).try_recv().expect("an answer").expect_err("condemned");
     assert_eq!(refusal.reason, "crashes endpoints");
@@ -342,10 +351,10 @@
     let mut node = Node::new();
     let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
     let nodes = ["own", "peer"].map(|name| RegistryChange::Node(name.into(), record.clone()));
-    node.state.load(Vec::new(), nodes.to_vec(), NOW);
+    node.state.load(registry_news(nodes.to_vec()), NOW);
     assert_eq!(node.state.registry().count(), 2);
     assert_eq!(node.state.registry().peers("own").count(), 1);
-    node.state.apply(Vec::new(), vec![RegistryChange::NodeGone("peer".into())], NOW);
+    node.state.apply(registry_news(vec![RegistryChange::NodeGone("peer".into())]), NOW);
     node.settle(NOW);
     assert_eq!(node.state.registry().count(), 2, "what it has used still counts");
     node.settle(NOW + Duration::from_secs(11));
