placement: the reads under way at an endpoint are summed up once a decision

Cause: each of up to nine ways to share a prompt sorted and added the reads of each endpoint three times over, though they do not depend on the way; and the loads of all endpoints were cloned out of a map that nobody used afterwards.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -92,12 +92,13 @@
         engine.pass_time(self.writers(), self.context)
     }
 
-    /// Returns the value that requests at the endpoint lose if it reads for `part` more.
-    pub(super) fn harm(&self, engine: &EngineModel, part: Duration, now: MonotonicTime) -> f64 {
+    /// Returns the value that requests at the endpoint lose if it reads for `part` more, behind
+    /// reads that take `backlog`.
+    pub(super) fn harm(&self, engine: &EngineModel, backlog: Duration, part: Duration) -> f64 {
         if self.writers.is_empty() && self.reader_values == 0.0 {
             return 0.0;
         }
-        let longest = self.pass(engine) + self.backlog(now) + part;
+        let longest = self.pass(engine) + backlog + part;
         let late: f64 = self
             .writers
             .iter()
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -143,13 +143,13 @@
         }
     }
     let seat_count = eligible.len();
-    let loads = sum_loads(board, now);
+    let mut loads = sum_loads(board, now);
     let spread = spread_among(board.nodes());
     let open = eligible
         .into_iter()
         .filter(|state| !state.health.is_paused(now) && board.admits_cold(state, now));
     let seats = open.map(|state| {
-        let load = loads.get(&state.entry.id).cloned().unwrap_or_default();
+        let load = loads.remove(&state.entry.id).unwrap_or_default();
         seat_of(state, load, engine, spread, now)
     });
     let plan = match engine {
@@ -191,6 +191,8 @@
         failures: state.health.failure_share(now),
         slowness: state.health.slowness(now),
         is_cold: now < state.entry.cold_until,
+        backlog: load.backlog(now),
+        helper_backlog: load.helper_backlog(now),
         spread: state.preference * spread,
         load,
     }
--- a/crates/apricotknot-core/src/fleet/sharing.rs
+++ b/crates/apricotknot-core/src/fleet/sharing.rs
@@ -59,6 +59,10 @@
     /// How many times slower than expected the endpoint is.
     pub(super) slowness: f64,
     pub(super) is_cold: bool,
+    /// Time until all reads under way at the endpoint are done.
+    pub(super) backlog: Duration,
+    /// Time until its reads for others are done.
+    pub(super) helper_backlog: Duration,
     /// Cost that makes nodes choose differently among endpoints that are nearly equal.
     pub(super) spread: f64,
     pub(super) load: EndpointLoad,
@@ -95,7 +99,7 @@
     now: MonotonicTime,
 ) -> Option<SharePlan> {
     let read = engine.read_time(ask.size.prompt);
-    let rent = read.as_secs_f64() * RENT * fleet_load(engine, &seats, now);
+    let rent = read.as_secs_f64() * RENT * fleet_load(engine, &seats);
     if seats.is_empty() {
         return None;
     }
@@ -116,10 +120,10 @@
 }
 
 /// Returns the part of the endpoints' time that is in use, from 0 to 1.
-fn fleet_load(engine: &EngineModel, seats: &[ShareSeat], now: MonotonicTime) -> f64 {
+fn fleet_load(engine: &EngineModel, seats: &[ShareSeat]) -> f64 {
     let loads = seats.iter().map(|seat| {
         let running = f64::from(seat.load.running) / f64::from(engine.slots.max(1));
-        let reading = seat.load.backlog(now).as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
+        let reading = seat.backlog.as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
         running.max(reading).min(1.0)
     });
     loads.sum::<f64>() / (seats.len().max(1) as f64)
@@ -134,7 +138,7 @@
     now: MonotonicTime,
 ) -> Option<SharePlan> {
     let mut weighed: Vec<WeighedSeat<'_>> =
-        seats.iter().map(|seat| weigh(engine, seat, part, now)).collect();
+        seats.iter().map(|seat| weigh(engine, seat, part)).collect();
     weighed.sort_by(|left, right| {
         let (left, right) = (left.order(), right.order());
         left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
@@ -187,19 +191,14 @@
     }
 }
 
-fn weigh<'a>(
-    engine: &EngineModel,
-    seat: &'a ShareSeat,
-    part: Duration,
-    now: MonotonicTime,
-) -> WeighedSeat<'a> {
+fn weigh<'a>(engine: &EngineModel, seat: &'a ShareSeat, part: Duration) -> WeighedSeat<'a> {
     let is_busy = seat.load.writers() > 0;
     let under_way = if is_busy { seat.load.pass(engine) / 2 } else { Duration::ZERO };
     WeighedSeat {
         seat,
-        harm: seat.load.harm(engine, part, now) + seat.failures * FAILURE_COST,
-        ready: (under_way + seat.load.backlog(now) + part).mul_f64(seat.slowness),
-        helper_ready: (under_way + seat.load.helper_backlog(now) + part).mul_f64(seat.slowness),
+        harm: seat.load.harm(engine, seat.backlog, part) + seat.failures * FAILURE_COST,
+        ready: (under_way + seat.backlog + part).mul_f64(seat.slowness),
+        helper_ready: (under_way + seat.helper_backlog + part).mul_f64(seat.slowness),
     }
 }
 
