one copy of the event buffer, the start incarnation and whole milliseconds

Cause: the gateway had written again what the node had: the buffer that joins parts of a stream and finds the end of an event (now EventSplitter serves SseSplitter too, which keeps its own reading of lines and its own limit), and the incarnation of a start. Left, as it would change what is passed on: the list of headers of one connection in plain/call.rs beside caller/intake.rs, which also honours names in Connection. No behaviour changes; the tests stay as they are.

--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -10,6 +10,8 @@
 use apricotknot_core::types::MonotonicTime;
 use tokio::sync::watch;
 
+use crate::clock::millis;
+
 /// Holds how long what a node knows serves without being renewed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KnowledgeLimits {
@@ -49,8 +51,7 @@
 
     /// Notes that the configuration in force was the newest one at `moment`.
     pub fn confirm(&self, moment: MonotonicTime) {
-        let millis = u64::try_from(moment.as_millis()).unwrap_or(u64::MAX);
-        self.known_at_ms.fetch_max(millis, Ordering::Release);
+        self.known_at_ms.fetch_max(millis(moment), Ordering::Release);
     }
 
     /// Notes that the node is about to stop.
--- a/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -27,14 +27,24 @@
         self.buffer.extend_from_slice(part);
     }
 
+    /// Takes the bytes of the next whole event, if there is one.
+    pub fn next_bytes(&mut self) -> Option<Bytes> {
+        let end = self.find_end()?;
+        Some(self.buffer.split_to(end).freeze())
+    }
+
     /// Takes the next whole event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let start = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-        let bytes = self.buffer.split_to(start + EVENT_END.len()).freeze();
+        let bytes = self.next_bytes()?;
         let number = bytes.split(|byte| *byte == b'\n').find_map(read_number);
         Some(StreamEvent { bytes, number })
     }
 
+    /// Returns whether a whole event can be taken.
+    pub fn has_event(&self) -> bool {
+        self.find_end().is_some()
+    }
+
     /// Returns whether no part of an event is left over.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -44,6 +54,11 @@
     pub fn len(&self) -> usize {
         self.buffer.len()
     }
+
+    fn find_end(&self) -> Option<usize> {
+        let start = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
+        Some(start + EVENT_END.len())
+    }
 }
 
 fn read_number(line: &[u8]) -> Option<u64> {
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -5,8 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use actix_http::KeepAlive;
 use actix_http::ServiceConfigBuilder;
@@ -20,6 +18,7 @@
 use crate::GatewayMetrics;
 use crate::GatewaySettings;
 use crate::clock::BootClock;
+use crate::clock::start_incarnation;
 use crate::control::ControlParts;
 use crate::control::SharedState;
 use crate::control::StateLimits;
@@ -75,7 +74,7 @@
         let shared = Arc::new(SharedState::new(settings.knowledge));
         let callers = listen(settings.callers)?;
         let operations = listen(settings.operations)?;
-        let incarnation = incarnation_now();
+        let incarnation = start_incarnation();
         info!(
             logger, "node: started";
             "incarnation" => incarnation, "data_centre" => %settings.data_centre,
@@ -176,9 +175,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-/// Returns the incarnation of a node that starts now: milliseconds since the Unix epoch.
-fn incarnation_now() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(1)
-}
--- a/crates/apricotknot/src/control/runner.rs
+++ b/crates/apricotknot/src/control/runner.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use apricotknot_core::membership::ClusterAction;
 use apricotknot_core::membership::ClusterState;
@@ -17,6 +15,7 @@
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::EpochNumber;
 use apricotknot_core::types::IncarnationNumber;
+use apricotknot_gateway::clock::start_incarnation;
 use apricotknot_wire::auth::KeyError;
 use slog::info;
 use slog::warn;
@@ -404,9 +403,3 @@
         .clock(parts.clock);
     Ok(options)
 }
-
-/// Returns the incarnation of a node that starts now: milliseconds since the Unix epoch.
-fn start_incarnation() -> IncarnationNumber {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    IncarnationNumber::try_from(since.as_millis()).unwrap_or(1)
-}
--- a/crates/apricotknot/src/engine/sse.rs
+++ b/crates/apricotknot/src/engine/sse.rs
@@ -1,7 +1,7 @@
 //! Splitting of a byte stream into whole server-sent events.
 
+use apricotknot_gateway::endpoint::EventSplitter;
 use bytes::Bytes;
-use bytes::BytesMut;
 
 use super::EngineError;
 use super::EngineErrorKind;
@@ -10,9 +10,6 @@
 /// Most bytes of one event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// End of an event.
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Data of the event that ends a stream.
 const END_MARK: &[u8] = b"[DONE]";
 
@@ -22,7 +19,7 @@
 /// Joins pieces of a stream and gives out whole events.
 #[derive(Debug, Default)]
 pub struct SseSplitter {
-    buffer: BytesMut,
+    events: EventSplitter,
 }
 
 impl SseSplitter {
@@ -39,8 +36,8 @@
     ///
     /// Returns an error where one event is larger than any engine sends.
     pub fn push(&mut self, piece: &[u8]) -> Result<(), EngineError> {
-        self.buffer.extend_from_slice(piece);
-        if self.buffer.len() > MAX_EVENT_BYTES && find_end(&self.buffer).is_none() {
+        self.events.push(piece);
+        if self.events.len() > MAX_EVENT_BYTES && !self.events.has_event() {
             return Err(EngineError::new(EngineErrorKind::Malformed));
         }
         Ok(())
@@ -48,17 +45,10 @@
 
     /// Takes the next whole event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = find_end(&self.buffer)?;
-        let bytes = self.buffer.split_to(end).freeze();
-        Some(scan_event(bytes))
+        self.events.next_bytes().map(scan_event)
     }
 }
 
-fn find_end(buffer: &[u8]) -> Option<usize> {
-    let start = buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-    Some(start + EVENT_END.len())
-}
-
 fn scan_event(bytes: Bytes) -> StreamEvent {
     let mut event =
         StreamEvent { bytes: Bytes::new(), index: None, is_end: false, completion_tokens: None };
--- a/crates/apricotknot/src/operators/node_fleet.rs
+++ b/crates/apricotknot/src/operators/node_fleet.rs
@@ -1,7 +1,6 @@
 //! The fleet as one running node sees it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use apricotknot_core::admission::DecisionRecord;
 use apricotknot_core::admission::DecisionVerdict;
@@ -20,6 +19,7 @@
 use apricotknot_core::resources::UpdateBatch;
 use apricotknot_core::types::RequestId;
 use apricotknot_core::types::RevisionNumber;
+use apricotknot_gateway::clock::millis;
 
 use super::FleetView;
 use crate::control::ControlCommand;
@@ -166,7 +166,7 @@
         },
     };
     ExplanationStep {
-        after_ms: milliseconds(record.queued_for),
+        after_ms: millis(record.queued_for),
         decision: decision.into(),
         reason: reason.into(),
     }
@@ -192,7 +192,3 @@
         if holders.is_empty() { "nobody".to_owned() } else { holders.join(", ") },
     )
 }
-
-fn milliseconds(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
