gateway: the log tells how a configuration arrived and when the key-value service is reachable again

Cause: the log had no line for a regained key-value service, and 'configuration applied' did not say how old the knowledge was, how long the bytes of the answer took, or how many older versions came with it. The four hypotheses of the incident could not be told apart. Ruled out: a metric alone; the question is about single versions on single nodes. Conclusion: transfer_ms and superseded show a replay of history, knowledge_ms a stalled call, the time between two lines of one node a lack of processor time.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -1,6 +1,7 @@
 //! Reader of the key-value service: it reads all keys once, then watches for changes.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::store::StoreEntry;
 use crate::store::StoreError;
 use crate::store::StoreErrorKind;
+use crate::store::WatchBatch;
 use crate::store::WatchEvent;
 
 /// Longest time that one watch call waits for changes.
@@ -66,6 +68,8 @@
         update: StoreUpdate,
         /// Time at which there were no other changes.
         as_of: MonotonicTime,
+        /// How the changes arrived.
+        delivery: BatchDelivery,
     },
     /// A record could not be read and was skipped.
     Skipped(TranslationError),
@@ -73,6 +77,15 @@
     Unreachable(StoreError),
 }
 
+/// Describes how the changes of one watch call arrived, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BatchDelivery {
+    /// Number of changes that a later change of the same key in the batch supersedes.
+    pub superseded: usize,
+    /// Time from the head of the answer to its last byte.
+    pub transfer: Duration,
+}
+
 /// Reads the key-value service for one node, and sends what it reads to the control thread.
 pub struct StateFeed<S, T> {
     store: S,
@@ -137,7 +150,7 @@
                     revision = revision.max(batch.revision);
                     let elapsed = self.clock.now().saturating_sub(sent_at);
                     let as_of = sent_at + confirmed_duration(batch.events.is_empty(), elapsed);
-                    self.send_changes(&batch.events, as_of).await;
+                    self.send_changes(&batch, as_of).await;
                     tokio::time::sleep(
                         call_interval(self.node_count.get()).saturating_sub(elapsed),
                     )
@@ -154,9 +167,9 @@
         }
     }
 
-    async fn send_changes(&mut self, events: &[WatchEvent], as_of: MonotonicTime) {
+    async fn send_changes(&mut self, batch: &WatchBatch, as_of: MonotonicTime) {
         let mut update = StoreUpdate::default();
-        for event in events {
+        for event in &batch.events {
             match event {
                 WatchEvent::Put(entry) => self.read_entry(entry, &mut update).await,
                 WatchEvent::Delete { key, .. } => {
@@ -165,7 +178,10 @@
                 },
             }
         }
-        self.send(FeedEvent::Changes { update, as_of }).await;
+        let keys: HashSet<&str> = batch.events.iter().map(WatchEvent::key).collect();
+        let superseded = batch.events.len() - keys.len();
+        let delivery = BatchDelivery { superseded, transfer: batch.transfer };
+        self.send(FeedEvent::Changes { update, as_of, delivery }).await;
     }
 
     async fn read_entry(&self, entry: &StoreEntry, update: &mut StoreUpdate) {
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 pub use command::HelperGrant;
 pub use command::PlacementRefusal;
 pub use command::PlacementRequest;
+pub use feed::BatchDelivery;
 pub use feed::FeedEvent;
 pub use feed::StateFeed;
 pub use handle::AttemptGuard;
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -24,6 +24,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use super::BatchDelivery;
 use super::ControlCommand;
 use super::ControlHandle;
 use super::ControlState;
@@ -236,8 +237,10 @@
 
     fn handle_feed(&mut self, event: FeedEvent) {
         let now = self.clock.now();
+        let mut delivery = BatchDelivery::default();
         let (newest, as_of) = match event {
             FeedEvent::Snapshot { update, as_of } => {
+                self.log_reachable_again(now);
                 info!(
                     self.logger, "control: store snapshot read";
                     "records" => update.record_changes.len(),
@@ -245,7 +248,9 @@
                 );
                 (self.state.apply_snapshot(update, now), as_of)
             },
-            FeedEvent::Changes { update, as_of } => {
+            FeedEvent::Changes { update, as_of, delivery: arrived } => {
+                delivery = arrived;
+                self.log_reachable_again(now);
                 self.log_changes(&update.record_changes);
                 (self.state.apply_changes(update, now), as_of)
             },
@@ -254,7 +259,7 @@
                 return;
             },
             FeedEvent::Unreachable(error) => {
-                if self.state.record_store_unreachable() {
+                if self.state.record_store_unreachable(now) {
                     let age = self.shared.configuration_age(now);
                     warn!(
                         self.logger,
@@ -268,7 +273,10 @@
         if let Some(desired) = newest {
             info!(
                 self.logger, "control: configuration applied";
-                "version" => desired.version, "routes" => desired.routes.len()
+                "version" => desired.version, "routes" => desired.routes.len(),
+                "call_ms" => millis(now.saturating_sub(as_of)),
+                "transfer_ms" => millis(delivery.transfer), "superseded" => delivery.superseded,
+                "knowledge_ms" => millis(self.shared.configuration_age(now))
             );
             self.shared.set_desired(desired);
         }
@@ -279,6 +287,17 @@
         }
     }
 
+    /// Logs the end of an outage of the key-value service, if there was one.
+    fn log_reachable_again(&self, now: MonotonicTime) {
+        if let Some(since) = self.state.store_unreachable_since() {
+            info!(
+                self.logger, "control: key-value service reachable again";
+                "outage_ms" => millis(now.saturating_sub(since)),
+                "knowledge_ms" => millis(self.shared.configuration_age(now))
+            );
+        }
+    }
+
     fn log_changes(&self, records: &[RecordChange]) {
         for record in records {
             match record {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -81,7 +81,7 @@
     wait_queue: WaitQueue,
     desired: Option<Arc<DesiredState>>,
     peer_secret: Option<Vec<u8>>,
-    is_store_unreachable: bool,
+    store_unreachable_since: Option<MonotonicTime>,
     store_reachable_since: Option<MonotonicTime>,
     /// Endpoints without a record after an outage of the store, with the time until which they may
     /// announce themselves again.
@@ -111,7 +111,7 @@
             wait_queue: WaitQueue::default(),
             desired: None,
             peer_secret: None,
-            is_store_unreachable: false,
+            store_unreachable_since: None,
             store_reachable_since: None,
             missing_until: BTreeMap::new(),
         }
@@ -198,8 +198,10 @@
     }
 
     /// Records that the key-value service is unreachable; returns whether it was reachable before.
-    pub fn record_store_unreachable(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_store_unreachable, true)
+    pub fn record_store_unreachable(&mut self, now: MonotonicTime) -> bool {
+        let was_reachable = self.store_unreachable_since.is_none();
+        self.store_unreachable_since.get_or_insert(now);
+        was_reachable
     }
 
     /// Applies the load snapshot of another node.
@@ -401,7 +403,7 @@
     }
 
     fn record_store_reachable(&mut self, now: MonotonicTime) {
-        if std::mem::replace(&mut self.is_store_unreachable, false) {
+        if self.store_unreachable_since.take().is_some() {
             self.store_reachable_since = Some(now);
         }
     }
@@ -448,6 +450,11 @@
         self.peer_secret.as_deref()
     }
 
+    /// Returns since when the key-value service is unreachable, or `None` if it is reachable.
+    pub fn store_unreachable_since(&self) -> Option<MonotonicTime> {
+        self.store_unreachable_since
+    }
+
     /// Returns whether any request waits for an endpoint.
     pub fn has_waiting(&self) -> bool {
         !self.wait_queue.is_empty()
--- a/crates/apricotknot-gateway/src/store/entry.rs
+++ b/crates/apricotknot-gateway/src/store/entry.rs
@@ -1,6 +1,7 @@
 //! Values of the requests and answers of the key-value service.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use apricotknot_core::types::RevisionNumber;
 
@@ -117,6 +118,16 @@
     },
 }
 
+impl WatchEvent {
+    /// Returns the key that was written or deleted.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Delete { key, .. } => key,
+        }
+    }
+}
+
 /// Reports changes in the order in which the store made them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WatchBatch {
@@ -124,4 +135,6 @@
     pub revision: RevisionNumber,
     /// Changes, oldest first; empty if there were none.
     pub events: Vec<WatchEvent>,
+    /// Time from the head of the answer to its last byte.
+    pub transfer: Duration,
 }
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -226,8 +226,8 @@
 #[test]
 fn endpoints_can_reannounce_after_a_store_outage() {
     let mut node = TestNode::with_engines(2);
-    assert!(node.state.record_store_unreachable());
-    assert!(!node.state.record_store_unreachable(), "only the first failure is reported");
+    assert!(node.state.record_store_unreachable(NOW));
+    assert!(!node.state.record_store_unreachable(NOW), "only the first failure is reported");
     let recovered_at = NOW + Duration::from_secs(5);
     node.state
         .apply_snapshot(update_of(vec![RecordChange::EndpointAnnounced(entry(0))]), recovered_at);
@@ -256,7 +256,7 @@
 #[test]
 fn endpoints_missing_after_a_store_outage_are_removed() {
     let mut node = TestNode::with_engines(2);
-    node.state.record_store_unreachable();
+    node.state.record_store_unreachable(NOW);
     let recovered_at = NOW + Duration::from_secs(5);
     node.state
         .apply_snapshot(update_of(vec![RecordChange::EndpointAnnounced(entry(0))]), recovered_at);
--- a/crates/apricotknot/tests/support/flaky_watch.rs
+++ b/crates/apricotknot/tests/support/flaky_watch.rs
@@ -59,7 +59,7 @@
             return Poll::Pending;
         }
         watch.next += events.len();
-        let batch = WatchBatch { revision: watch.next as u64, events };
+        let batch = WatchBatch { revision: watch.next as u64, events, ..WatchBatch::default() };
         Poll::Ready(Some(Ok(batch)))
     }
 }
