--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod feed;
 mod handle;
+mod loop_load;
 mod registry;
 mod runner;
 mod shared;
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -34,6 +34,8 @@
 use super::SharedState;
 use super::StateFeed;
 use super::announcer::NodeAnnouncer;
+use super::loop_load::InputKind;
+use super::loop_load::LoopLoad;
 use crate::clock::BootClock;
 use crate::clock::millis;
 use crate::peers::DatagramSeal;
@@ -134,6 +136,7 @@
     logger: Logger,
     snapshot_sent_at: MonotonicTime,
     has_unsent_changes: bool,
+    load: LoopLoad,
 }
 
 impl ControlRunner {
@@ -183,6 +186,7 @@
             logger: parts.logger,
             snapshot_sent_at: MonotonicTime::ZERO,
             has_unsent_changes: false,
+            load: LoopLoad::default(),
         })
     }
 
@@ -191,28 +195,50 @@
         let mut datagram = vec![0_u8; DATAGRAM_BYTES];
         loop {
             let tick = if self.state.has_waiting() { BUSY_TICK } else { IDLE_TICK };
-            tokio::select! {
+            let (kind, woken) = tokio::select! {
                 count = self.commands.recv_many(&mut batch, COMMAND_BATCH) => {
                     if count == 0 {
                         return;
                     }
+                    let woken = self.clock.now();
                     if let Some(done) = self.handle_batch(&mut batch) {
                         self.withdraw().await;
                         let _ = done.send(());
                         return;
                     }
+                    (InputKind::Commands(count), woken)
+                },
+                Some(event) = self.feed_events.recv() => {
+                    let woken = self.clock.now();
+                    self.handle_feed(event);
+                    (InputKind::Other, woken)
                 },
-                Some(event) = self.feed_events.recv() => self.handle_feed(event),
                 Ok((length, _)) = self.socket.recv_from(&mut datagram) => {
+                    let woken = self.clock.now();
                     self.handle_datagram(&datagram[..length]);
+                    (InputKind::Datagram, woken)
                 },
-                () = tokio::time::sleep(tick) => {},
-            }
+                () = tokio::time::sleep(tick) => (InputKind::Other, self.clock.now()),
+            };
             self.state.tick(self.clock.now());
             self.send_snapshot();
+            self.record_load(kind, woken);
         }
     }
 
+    /// Records the load of the loop, and logs an interval in which the thread was overloaded.
+    fn record_load(&mut self, kind: InputKind, woken: MonotonicTime) {
+        let Some(report) = self.load.record(kind, woken, self.clock.now()) else {
+            return;
+        };
+        warn!(
+            self.logger, "control: thread overloaded; placements and changes are delayed";
+            "busy_ms" => millis(report.busy), "interval_ms" => millis(report.length),
+            "commands" => report.commands, "datagrams" => report.datagrams,
+            "waiting" => self.state.waiting_count()
+        );
+    }
+
     /// Handles commands; if one of them stops the thread, returns the sender to notify at its end.
     fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> Option<oneshot::Sender<()>> {
         for command in batch.drain(..) {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -455,6 +455,11 @@
         self.store_unreachable_since
     }
 
+    /// Returns the number of requests that wait for an endpoint.
+    pub fn waiting_count(&self) -> usize {
+        self.wait_queue.len()
+    }
+
     /// Returns whether any request waits for an endpoint.
     pub fn has_waiting(&self) -> bool {
         !self.wait_queue.is_empty()
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -50,6 +50,11 @@
 }
 
 impl WaitQueue {
+    /// Returns the number of requests that wait.
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Returns whether no request waits.
     pub(super) fn is_empty(&self) -> bool {
         self.requests.is_empty()
