gateway: waiting requests are weighed at intervals, not at each datagram

Cause: the control thread tried to place every waiting request again after each input. Each try weighs all endpoints and all work of the fleet, and each node gets 500 to 700 datagrams a second from 70 others. With one request waiting, a node with 0.12 of a core was busy for 985 of 1000 ms, the connection to the key-value service starved on the same thread, and answers of 415 KB took up to 4.6 s to read. The new test counts 1000 passes for 1000 datagrams on the old code and fails; it holds now. Ruled out: the length of the answers alone (0.17 s of the link), stalled calls (no 'unreachable' line on these nodes), unreadable versions (no line). Why this works: the passes are bounded by time and by the number of waiting requests; the end of an attempt of the node itself, which may leave room, still starts one at once.

--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -53,6 +53,15 @@
 /// Retry delay that callers of a quarantined request are given.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Interval between two passes over the waiting requests, for each of them.
+///
+/// A pass weighs all work of the fleet for each request. Inputs arrive far more often, as every
+/// node reports each change of its work.
+const PLACEMENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Longest interval between two passes over the waiting requests.
+const MAX_PLACEMENT_INTERVAL: Duration = Duration::from_millis(90);
+
 /// Retry delay that callers are given when a retry is not allowed or no endpoint has room.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -79,6 +88,10 @@
     suspected_crashes: Vec<(MonotonicTime, CrashReport)>,
     retry_limiters: BTreeMap<ServiceId, RetryLimiter>,
     wait_queue: WaitQueue,
+    /// Time from which the waiting requests may be weighed again.
+    next_pass: MonotonicTime,
+    /// Number of times that a request was weighed against the fleet.
+    placement_count: u64,
     desired: Option<Arc<DesiredState>>,
     peer_secret: Option<Vec<u8>>,
     store_unreachable_since: Option<MonotonicTime>,
@@ -109,6 +122,8 @@
             suspected_crashes: Vec::new(),
             retry_limiters: BTreeMap::new(),
             wait_queue: WaitQueue::default(),
+            next_pass: MonotonicTime::ZERO,
+            placement_count: 0,
             desired: None,
             peer_secret: None,
             store_unreachable_since: None,
@@ -215,13 +230,17 @@
         self.fleet.apply_snapshot(snapshot, now);
     }
 
-    /// Removes what has expired at `now`, and tries again to place the waiting requests.
+    /// Removes what has expired at `now`, and tries again to place the waiting requests if the
+    /// last pass over them is long enough ago.
     pub fn tick(&mut self, now: MonotonicTime) {
         self.fleet.remove_stale_peers(now);
         self.registry.expire(now);
         self.fleet.set_node_count(self.registry.count());
         self.remove_missing(now);
-        self.place_waiting(now);
+        if now >= self.next_pass {
+            self.next_pass = now + pass_interval(self.wait_queue.len());
+            self.place_waiting(now);
+        }
     }
 
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
@@ -291,6 +310,7 @@
         rank: usize,
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
+        self.placement_count += 1;
         match place(&self.fleet, &waiting.request.query, rank, now) {
             PlacementDecision::Wait if waiting.request.may_wait => return Some(waiting),
             PlacementDecision::Wait => {
@@ -333,6 +353,8 @@
     fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
         let runner = self.fleet.runner(attempt).cloned();
         self.fleet.record_end(attempt, end, now);
+        // The endpoint may have room again.
+        self.next_pass = now;
         if let Some(endpoint) = runner.filter(|_| end == AttemptEnd::Unreachable) {
             self.confirm_crashes(&endpoint, now);
         }
@@ -455,6 +477,11 @@
         self.store_unreachable_since
     }
 
+    /// Returns the number of times that a request was weighed against the fleet.
+    pub fn placement_count(&self) -> u64 {
+        self.placement_count
+    }
+
     /// Returns the number of requests that wait for an endpoint.
     pub fn waiting_count(&self) -> usize {
         self.wait_queue.len()
@@ -465,3 +492,9 @@
         !self.wait_queue.is_empty()
     }
 }
+
+/// Returns the interval between two passes over `waiting` requests.
+fn pass_interval(waiting: usize) -> Duration {
+    let waiting = u32::try_from(waiting.max(1)).unwrap_or(u32::MAX);
+    PLACEMENT_INTERVAL.saturating_mul(waiting).min(MAX_PLACEMENT_INTERVAL)
+}
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -413,6 +413,29 @@
     }
 }
 
+// Guards against a control thread that weighs the same request for each datagram, and so applies
+// configurations seconds late.
+#[test]
+fn snapshots_of_peers_do_not_place_waiting_requests_again() {
+    let mut node = TestNode::with_engines(1);
+    let (mut first, mut second) =
+        (node.request_placement(1_000, NOW), node.request_placement(1_000, NOW));
+    let _held = (granted(&mut first), granted(&mut second));
+    let _waiting = node.request_placement_with(60_000, NOW, |request| {
+        request.query.target_latency = Duration::from_secs(3);
+    });
+    assert_eq!(node.state.waiting_count(), 1);
+    let before = node.state.placement_count();
+    for millisecond in 1..=1_000 {
+        let now = NOW + Duration::from_millis(millisecond);
+        node.state.apply_peer_snapshot(peer_snapshot("peer", millisecond, Vec::new()), now);
+        node.process_commands(now);
+    }
+    assert_eq!(node.state.waiting_count(), 1, "the request still waits");
+    let passes = node.state.placement_count() - before;
+    assert!((10..=100).contains(&passes), "{passes} passes for 1000 datagrams in a second");
+}
+
 fn peer_snapshot(node: &str, sequence: u64, crashes: Vec<CrashReport>) -> LoadSnapshot {
     LoadSnapshot {
         node: node.into(),
