--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -413,8 +413,7 @@
     }
 }
 
-// Guards against a control thread that weighs the same request for each datagram, and so applies
-// configurations seconds late.
+// Guards against configurations that are applied late, as each datagram places requests again.
 #[test]
 fn snapshots_of_peers_do_not_place_waiting_requests_again() {
     let mut node = TestNode::with_engines(1);
