gateway: prompts with a part that crashes engines are refused by all nodes

What callers saw: one part of a prompt crashed each engine that began to answer it. Cause: a crashing request was known only by the digest of its path, account and body, and these are no two alike. Why this works: a request names the parts of its prompt. Each node tells the others which parts were in prompts whose connection broke before the answer began, and which suspect parts were answered. A part that crashed three engines within different requests, and of which no answer is known, is quarantined (8 crashes if it was answered in the last minute). A crash beside a likelier part does not count, so parts of bystanders stay served. The verdict is recorded in the key-value service for 10 minutes, for nodes that start later; one prompt is let through after 30 s, 60 s and so on.

--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 
 use super::CrashReport;
+use super::PartAnswerReport;
+use super::PartCrashReport;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -89,6 +91,10 @@
     pub waits: Vec<WaitSnapshot>,
     /// Endpoint crashes that the node detected recently.
     pub crashes: Vec<CrashReport>,
+    /// Endpoint crashes that the node detected recently, with the parts of the prompts.
+    pub part_crashes: Vec<PartCrashReport>,
+    /// Parts that crashes make suspect, and that the node received answers to.
+    pub part_answers: Vec<PartAnswerReport>,
 }
 
 fn saturating_u32(value: impl TryInto<u32>) -> u32 {
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -293,6 +293,8 @@
             works: self.fleet_states[node].work_snapshots(self.now),
             waits: Vec::new(),
             crashes: Vec::new(),
+            part_crashes: Vec::new(),
+            part_answers: Vec::new(),
         };
         self.in_transit.push((self.now + self.snapshot_delay, snapshot));
     }
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -1,10 +1,13 @@
 //! Commands that traffic threads send to the control thread.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RequestFingerprint;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
@@ -26,6 +29,8 @@
     pub may_wait: bool,
     /// Fingerprint of the request; requests with the same content share it.
     pub fingerprint: RequestFingerprint,
+    /// Parts of the prompt that other prompts can share.
+    pub shared_parts: Arc<[PromptPartId]>,
 }
 
 /// Permits one attempt at one endpoint.
@@ -103,10 +108,14 @@
         /// Endpoint whose connection broke.
         endpoint: EndpointId,
     },
+    /// The connection broke before the answer began: a part of the prompt may crash endpoints.
+    PromptBroken(PartCrashReport),
     /// A request was answered completely, so it did not crash its endpoint.
     RequestAnswered {
         /// Fingerprint of the request.
         fingerprint: RequestFingerprint,
+        /// Parts of the prompt that other prompts can share.
+        shared_parts: Arc<[PromptPartId]>,
     },
     /// Withdraws the node and ends the control thread.
     Stop {
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
 use serde::Deserialize;
@@ -13,6 +14,9 @@
 /// Prefix of the keys under which nodes announce themselves.
 const NODE_PREFIX: &str = "apricotknot/nodes/";
 
+/// Prefix of the keys of prompt parts that crash endpoints.
+const PART_PREFIX: &str = "apricotknot/quarantined-parts/";
+
 /// Key of the secret with which nodes sign their datagrams.
 const SECRET_KEY: &str = "apricotknot/peer-secret";
 
@@ -39,6 +43,10 @@
     NodeRemoved(NodeId),
     /// The secret with which nodes sign was written.
     Secret(Vec<u8>),
+    /// A prompt part was recorded as quarantined.
+    PartQuarantined(PromptPartId),
+    /// The record of a quarantined prompt part was removed.
+    PartReleased(PromptPartId),
 }
 
 #[derive(Clone, Debug)]
@@ -89,6 +97,12 @@
         self.nodes.len().max(1)
     }
 
+    /// Returns whether `own` is the first of the announced nodes, in the order of their names.
+    pub fn is_first(&self, own: &str) -> bool {
+        let mut announced = self.nodes.iter().filter(|(_, known)| known.removed_at.is_none());
+        announced.next().is_some_and(|(node, _)| &**node == own)
+    }
+
     /// Returns the addresses of all nodes except `own`.
     pub fn peer_addresses<'a>(&'a self, own: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
         let others = self.nodes.iter().filter(move |(node, _)| &***node != own);
@@ -106,11 +120,19 @@
     SECRET_KEY.into()
 }
 
+/// Returns the key under which a quarantined prompt part is recorded.
+pub(super) fn part_key(part: PromptPartId) -> Arc<str> {
+    format!("{PART_PREFIX}{part:016x}").into()
+}
+
 /// Parses a record of the gateway; returns `None` for other keys and for unreadable records.
 pub(super) fn parse_put(key: &str, value: &[u8]) -> Option<RegistryChange> {
     if key == SECRET_KEY {
         return Some(RegistryChange::Secret(value.to_vec()));
     }
+    if let Some(part) = parse_part(key) {
+        return Some(RegistryChange::PartQuarantined(part));
+    }
     let node = key.strip_prefix(NODE_PREFIX)?;
     let record = serde_json::from_slice(value).ok()?;
     Some(RegistryChange::NodeAnnounced(node.into(), record))
@@ -118,5 +140,12 @@
 
 /// Parses the removal of a key of the gateway; returns `None` for other keys.
 pub(super) fn parse_delete(key: &str) -> Option<RegistryChange> {
+    if let Some(part) = parse_part(key) {
+        return Some(RegistryChange::PartReleased(part));
+    }
     key.strip_prefix(NODE_PREFIX).map(|node| RegistryChange::NodeRemoved(node.into()))
 }
+
+fn parse_part(key: &str) -> Option<PromptPartId> {
+    PromptPartId::from_str_radix(key.strip_prefix(PART_PREFIX)?, 16).ok()
+}
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_rt::System;
+use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
@@ -36,6 +37,8 @@
 use super::announcer::NodeAnnouncer;
 use super::loop_load::InputKind;
 use super::loop_load::LoopLoad;
+use super::quarantine_recorder::QuarantineRecorder;
+use super::quarantine_recorder::RECORDER_CAPACITY;
 use crate::clock::BootClock;
 use crate::clock::millis;
 use crate::peers::DatagramSeal;
@@ -137,6 +140,8 @@
     snapshot_sent_at: MonotonicTime,
     has_unsent_changes: bool,
     load: LoopLoad,
+    /// Sends prompt parts to the task that records them in the key-value service.
+    recorder: mpsc::Sender<PromptPartId>,
 }
 
 impl ControlRunner {
@@ -160,6 +165,10 @@
         let record = NodeRecord { address: parts.peer_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
         let stop_signal = Rc::new(Notify::new());
+        let (recorder, recorded_parts) = mpsc::channel(RECORDER_CAPACITY);
+        let quarantine_recorder =
+            QuarantineRecorder::new(parts.store.clone(), recorded_parts, logger.clone());
+        actix_rt::spawn(quarantine_recorder.run());
         let announcer = NodeAnnouncer::new(
             parts.store,
             Arc::clone(&parts.node),
@@ -187,6 +196,7 @@
             snapshot_sent_at: MonotonicTime::ZERO,
             has_unsent_changes: false,
             load: LoopLoad::default(),
+            recorder,
         })
     }
 
@@ -221,11 +231,28 @@
                 () = tokio::time::sleep(tick) => (InputKind::Other, self.clock.now()),
             };
             self.state.tick(self.clock.now());
+            self.publish_verdicts();
             self.send_snapshot();
             self.record_load(kind, woken);
         }
     }
 
+    /// Logs the verdicts on prompt parts, and records those of this node in the key-value service.
+    fn publish_verdicts(&mut self) {
+        for verdict in self.state.take_verdicts() {
+            warn!(
+                self.logger, "control: prompt part quarantined; refusing prompts that contain it";
+                "part" => verdict.part, "crashes" => verdict.crashes, "is_own" => verdict.is_own
+            );
+            if verdict.is_own && self.recorder.try_send(verdict.part).is_err() {
+                warn!(
+                    self.logger, "quarantine: too many prompt parts to record; dropping one";
+                    "part" => verdict.part
+                );
+            }
+        }
+    }
+
     /// Records the load of the loop, and logs an interval in which the thread was overloaded.
     fn record_load(&mut self, kind: InputKind, woken: MonotonicTime) {
         let Some(report) = self.load.record(kind, woken, self.clock.now()) else {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
-use apricotknot_core::fleet::CrashHistory;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::LoadSnapshot;
@@ -33,10 +32,12 @@
 use super::EndpointGrant;
 use super::HelperGrant;
 use super::NodeRegistry;
+use super::PartVerdict;
 use super::PlacementRefusal;
 use super::PlacementRequest;
 use super::RegistryChange;
 use super::StoreUpdate;
+use super::request_quarantine::RequestQuarantine;
 use super::wait_queue::PlacementSender;
 use super::wait_queue::WaitQueue;
 use super::wait_queue::WaitingRequest;
@@ -47,11 +48,9 @@
 /// Until it has passed, endpoints without a record are kept.
 const REANNOUNCE_GRACE: Duration = Duration::from_millis(2_200);
 
-/// Longest time from a broken connection to the sign that confirms the crash of its endpoint.
-const CRASH_CONFIRM_WINDOW: Duration = Duration::from_secs(6);
-
-/// Retry delay that callers of a quarantined request are given.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Refusal of a request that crashes endpoints, or that has a part that does.
+const QUARANTINE_REFUSAL: PlacementRefusal =
+    PlacementRefusal { reason: "crashes endpoints", retry_after: Duration::from_secs(30) };
 
 /// Interval between two passes over the waiting requests, for each of them.
 ///
@@ -83,9 +82,7 @@
     limits: FleetLimits,
     fleet: FleetState,
     registry: NodeRegistry,
-    crash_history: CrashHistory,
-    /// Requests whose connections broke, with the endpoints that may have crashed, and when.
-    suspected_crashes: Vec<(MonotonicTime, CrashReport)>,
+    quarantine: RequestQuarantine,
     retry_limiters: BTreeMap<ServiceId, RetryLimiter>,
     wait_queue: WaitQueue,
     /// Time from which the waiting requests may be weighed again.
@@ -118,8 +115,7 @@
             sequence: 0,
             limits,
             registry: NodeRegistry::default(),
-            crash_history: CrashHistory::default(),
-            suspected_crashes: Vec::new(),
+            quarantine: RequestQuarantine::default(),
             retry_limiters: BTreeMap::new(),
             wait_queue: WaitQueue::default(),
             next_pass: MonotonicTime::ZERO,
@@ -142,11 +138,13 @@
             },
             ControlCommand::AttemptEnded { attempt, end } => self.end_attempt(attempt, end, now),
             ControlCommand::ConnectionBroken { fingerprint, endpoint } => {
-                self.suspected_crashes.push((now, CrashReport { fingerprint, endpoint }));
+                self.quarantine.record_broken(CrashReport { fingerprint, endpoint }, now);
+            },
+            ControlCommand::PromptBroken(report) => {
+                self.quarantine.record_prompt_broken(report, now);
             },
-            ControlCommand::RequestAnswered { fingerprint } => {
-                self.suspected_crashes.retain(|(_, report)| report.fingerprint != fingerprint);
-                self.crash_history.clear(fingerprint);
+            ControlCommand::RequestAnswered { fingerprint, shared_parts } => {
+                self.quarantine.record_answered(fingerprint, &shared_parts, now);
             },
             ControlCommand::Stop { .. } => {},
         }
@@ -190,6 +188,7 @@
             _ => None,
         });
         self.registry.retain(&present.collect::<Vec<_>>(), now);
+        self.quarantine.retain_recorded(&update.registry_changes);
         self.apply_changes(update, now)
     }
 
@@ -224,9 +223,7 @@
         if snapshot.node == self.node {
             return;
         }
-        for report in std::mem::take(&mut snapshot.crashes) {
-            self.crash_history.apply_report(report, now);
-        }
+        self.quarantine.apply_reports(&mut snapshot, now);
         self.fleet.apply_snapshot(snapshot, now);
     }
 
@@ -243,17 +240,32 @@
         }
     }
 
+    /// Takes the verdicts on prompt parts since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<PartVerdict> {
+        self.quarantine.take_verdicts()
+    }
+
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
     pub fn next_snapshot(&mut self, now: MonotonicTime) -> LoadSnapshot {
         self.sequence += 1;
-        LoadSnapshot {
+        let mut snapshot = LoadSnapshot {
             node: Arc::clone(&self.node),
             incarnation: self.incarnation,
             sequence: self.sequence,
             works: self.fleet.work_snapshots(now),
             waits: self.wait_queue.snapshots(now),
-            crashes: self.crash_history.recent_reports(now),
-        }
+            crashes: Vec::new(),
+            part_crashes: Vec::new(),
+            part_answers: Vec::new(),
+        };
+        self.quarantine.add_reports(&mut snapshot, now);
+        snapshot
+    }
+
+    /// Returns whether a request must not be sent; one node probes quarantined parts for all.
+    fn is_quarantined(&mut self, request: &PlacementRequest, now: MonotonicTime) -> bool {
+        let may_probe = self.registry.is_first(&self.node);
+        self.quarantine.refuses(request, may_probe, now)
     }
 
     fn request_placement(
@@ -262,10 +274,8 @@
         reply: PlacementSender,
         now: MonotonicTime,
     ) {
-        if self.crash_history.is_quarantined(request.fingerprint, now) {
-            let reason = "crashes endpoints";
-            let _ =
-                reply.send(Err(PlacementRefusal { reason, retry_after: QUARANTINE_RETRY_AFTER }));
+        if self.is_quarantined(&request, now) {
+            let _ = reply.send(Err(QUARANTINE_REFUSAL));
             return;
         }
         let nodes = self.registry.count();
@@ -286,6 +296,10 @@
 
     fn place_waiting(&mut self, now: MonotonicTime) {
         for request in self.wait_queue.take_ordered(now) {
+            if self.is_quarantined(&request.request, now) {
+                let _ = request.reply.send(Err(QUARANTINE_REFUSAL));
+                continue;
+            }
             let rank = self.rank(&request.request.query, now);
             if let Some(request) = self.try_place(request, rank, now) {
                 self.wait_queue.push(request);
@@ -356,31 +370,17 @@
         // The endpoint may have room again.
         self.next_pass = now;
         if let Some(endpoint) = runner.filter(|_| end == AttemptEnd::Unreachable) {
-            self.confirm_crashes(&endpoint, now);
-        }
-    }
-
-    /// Records a confirmed crash for each request whose connection the endpoint broke recently.
-    ///
-    /// Called when the endpoint is unreachable, is removed or has restarted. A broken connection
-    /// alone does not prove a crash.
-    fn confirm_crashes(&mut self, endpoint: &str, now: MonotonicTime) {
-        self.suspected_crashes.retain(|(at, _)| *at + CRASH_CONFIRM_WINDOW > now);
-        let suspected_crashes = std::mem::take(&mut self.suspected_crashes);
-        let (crashed, others) =
-            suspected_crashes.into_iter().partition(|(_, report)| *report.endpoint == *endpoint);
-        self.suspected_crashes = others;
-        let crashed: Vec<(MonotonicTime, CrashReport)> = crashed;
-        for (_, report) in crashed {
-            self.crash_history.record(report, now);
+            self.quarantine.confirm_crashes(&endpoint, now);
         }
     }
 
     fn apply_registry_change(&mut self, change: RegistryChange, now: MonotonicTime) {
+        self.quarantine.apply_registry_change(&change, now);
         match change {
             RegistryChange::NodeAnnounced(node, record) => self.registry.set(node, record),
             RegistryChange::NodeRemoved(node) => self.registry.remove(&node, now),
             RegistryChange::Secret(secret) => self.peer_secret = Some(secret),
+            RegistryChange::PartQuarantined(_) | RegistryChange::PartReleased(_) => {},
         }
     }
 
@@ -395,12 +395,12 @@
                 self.missing_until.remove(&entry.id);
                 let known = self.fleet.endpoint(&entry.id).map(|state| state.entry.incarnation);
                 if known.is_some_and(|incarnation| incarnation != entry.incarnation) {
-                    self.confirm_crashes(&entry.id, now);
+                    self.quarantine.confirm_crashes(&entry.id, now);
                 }
                 self.fleet.set_endpoint(entry);
             },
             RecordChange::EndpointRemoved(endpoint) => {
-                self.confirm_crashes(&endpoint, now);
+                self.quarantine.confirm_crashes(&endpoint, now);
                 self.remove_or_defer(endpoint, now);
             },
             RecordChange::DataCentreEvacuated(centre) => {
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -28,6 +28,8 @@
     pub(super) silence_limit: Option<Duration>,
     /// Time until the answer was expected to begin.
     pub(super) expected_start: Duration,
+    /// Whether the first event of the answer has arrived.
+    pub(super) has_begun: bool,
     /// Time at which the connection was established.
     pub(super) sent_at: MonotonicTime,
 }
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -6,6 +6,7 @@
 use actix_http::ResponseHead;
 use actix_http::header::CONTENT_ENCODING;
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::routing::CallKind;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -221,6 +222,7 @@
                     helpers: grant.helpers,
                     _reservations: reservations,
                     expected_start: grant.expected_start,
+                    has_begun: false,
                     sent_at: self.now(),
                 })
             },
@@ -359,6 +361,15 @@
             fingerprint: self.call.fingerprint,
             endpoint: Arc::clone(&open.endpoint),
         });
+        if !open.has_begun && !self.call.metadata.shared_parts.is_empty() {
+            self.context.control.send(ControlCommand::PromptBroken(PartCrashReport {
+                attempt: open.guard.attempt(),
+                endpoint: Arc::clone(&open.endpoint),
+                request: self.call.fingerprint,
+                parts: self.call.metadata.shared_parts.to_vec(),
+                age_ms: 0,
+            }));
+        }
         self.record_failed_attempt(&open.endpoint, AttemptEnd::Broken, &error.to_string());
         self.excluded.push(open.endpoint);
         CallInterrupt::Attempt(AttemptFault::MayHaveRun)
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -25,7 +25,8 @@
     pub(super) fn record_answered(&mut self, open: &mut OpenAttempt) {
         open.guard.set_end(AttemptEnd::Answered);
         let fingerprint = self.call.fingerprint;
-        self.context.control.send(ControlCommand::RequestAnswered { fingerprint });
+        let shared_parts = Arc::clone(&self.call.metadata.shared_parts);
+        self.context.control.send(ControlCommand::RequestAnswered { fingerprint, shared_parts });
         self.count_attempt(AttemptEnd::Answered);
     }
 
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -38,7 +38,6 @@
     ) -> Result<(), CallInterrupt> {
         let AnsweredAttempt { mut open, head } = answered;
         let mut splitter = EventSplitter::default();
-        let mut is_first = true;
         loop {
             match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => {
@@ -52,7 +51,7 @@
                 Ok(Ok(Some(part))) => splitter.push(&part),
             }
             while let Some(event) = splitter.next_event() {
-                if std::mem::take(&mut is_first) {
+                if !std::mem::replace(&mut open.has_begun, true) {
                     self.record_answer_begun(&open);
                     open.silence_limit = open.silence_limit.and(self.stream_silence_limit());
                 }
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -74,6 +74,7 @@
             is_retry: self.sends > 0,
             may_wait,
             fingerprint: self.call.fingerprint,
+            shared_parts: Arc::clone(&self.call.metadata.shared_parts),
         }
     }
 }
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -6,6 +6,7 @@
 
 use actix_http::RequestHead;
 use actix_http::ResponseHead;
+use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EndpointId;
@@ -29,6 +30,8 @@
     pub size: RequestSize,
     /// Id of the last event that the caller received of an earlier stream, if any.
     pub last_event_id: Option<u64>,
+    /// Parts of the prompt that other prompts can share; empty if none are stated.
+    pub shared_parts: Arc<[PromptPartId]>,
 }
 
 /// Reports a header of a caller with an invalid value.
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::expect_used, reason = "test helpers may panic")]
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
@@ -90,6 +91,7 @@
             is_retry: false,
             may_wait: true,
             fingerprint: 7,
+            shared_parts: Arc::default(),
         };
         change(&mut request);
         let (reply, receiver) = oneshot::channel();
@@ -443,5 +445,7 @@
         works: Vec::new(),
         waits: Vec::new(),
         crashes,
+        part_crashes: Vec::new(),
+        part_answers: Vec::new(),
     }
 }
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -1,6 +1,8 @@
 //! Tests of the signed datagrams between nodes.
 
 use apricotknot_core::fleet::LoadSnapshot;
+use apricotknot_core::fleet::PartAnswerReport;
+use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_gateway::peers::DatagramError;
 use apricotknot_gateway::peers::DatagramSeal;
@@ -13,6 +15,14 @@
         works: Vec::new(),
         waits: vec![WaitSnapshot { prompt: 5, age_ms: 6 }],
         crashes: Vec::new(),
+        part_crashes: vec![PartCrashReport {
+            attempt: 7,
+            endpoint: "engine".into(),
+            request: 8,
+            parts: vec![1, 2],
+            age_ms: 30,
+        }],
+        part_answers: vec![PartAnswerReport { part: 1, age_ms: 40 }],
     }
 }
 
