gateway: calls end at their deadline also while an endpoint keeps sending

What callers saw: nothing until they gave up; a call with 1.5 s was open for 40 s. Cause: the wait for a part of the answer was polled before the caller and the deadline, and a part is always ready when an endpoint sends small chunks without end. Evidence: endless_answers::chunks_without_end_end_with_the_call failed before ('timed out waiting until the node closes its connections', took_ms 40560); the eight other tests of the file passed before, too, and stay as checks of heads, header lines, informational heads, noise, bodies and events without end, and of streams without a length. Why this works: the close of the caller and the deadline are looked at first, the deadline also by the clock, as timers fire only when the task yields. A part that is ready still goes before the limit of silence.

--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -444,11 +444,16 @@
                 None => std::future::pending().await,
             }
         };
+        if left.is_zero() {
+            return Err(WaitInterrupt::Deadline);
+        }
+        // The caller and the deadline come first: with an endpoint that sends without end, the work
+        // is always ready.
         tokio::select! {
             biased;
-            output = work => Ok(output),
             () = self.connection.wait_closed() => Err(WaitInterrupt::CallerDisconnected),
             () = tokio::time::sleep(left) => Err(WaitInterrupt::Deadline),
+            output = work => Ok(output),
             () = silence => Err(WaitInterrupt::Silence),
         }
     }
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -238,6 +238,15 @@
         self.child = start_process(&self.settings, &self.log);
     }
 
+    /// Returns the largest memory that the process has used, in kilobytes.
+    pub(crate) fn peak_kilobytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("status of the process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse().ok());
+        peak.expect("peak memory of the process")
+    }
+
     /// Returns the lines of the log that are JSON.
     pub(crate) fn log_lines(&self) -> Vec<Value> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
