gateway: the search for the end of an event goes on where it stopped

What callers saw: while one endpoint sent 6-byte chunks without the end of an event, the traffic thread searched up to 1 MiB from its start for each chunk, and other calls of the node waited. Cause: the splitter kept no position. Why this works: only the last byte of what was searched can begin the end of an event.

--- a/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of bytes at the start of the buffer in which no event ends.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -29,7 +31,12 @@
 
     /// Removes and returns the bytes of the next complete event, if there is one.
     pub fn next_bytes(&mut self) -> Option<Bytes> {
-        let end = self.find_end()?;
+        let Some(end) = self.find_end() else {
+            // The end may begin with the last byte.
+            self.searched = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
+            return None;
+        };
+        self.searched = 0;
         Some(self.buffer.split_to(end).freeze())
     }
 
@@ -56,8 +63,9 @@
     }
 
     fn find_end(&self) -> Option<usize> {
-        let start = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
-        Some(start + EVENT_END.len())
+        let mut windows = self.buffer[self.searched..].windows(EVENT_END.len());
+        let start = windows.position(|window| window == EVENT_END)?;
+        Some(self.searched + start + EVENT_END.len())
     }
 }
 
