--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -31,8 +31,8 @@
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Loopback address on which nodes listen.
-const NODE_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+/// First byte after 127 of the loopback addresses on which nodes listen.
+const NODE_NETWORK: u8 = 64;
 
 /// Port of the next listener of a node.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
@@ -392,10 +392,12 @@
 
 /// Returns an unused address for a listener of a node.
 ///
-/// Outgoing connections use another loopback address, so none of them can occupy the port.
+/// Outgoing connections use another loopback address, so none of them can occupy the port. Each
+/// process of tests has a loopback address of its own, so several can run at once.
 fn next_node_address() -> SocketAddr {
     let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-    SocketAddr::from((NODE_IP, port))
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, NODE_NETWORK | high, middle, low), port))
 }
 
 /// Returns a configuration with a model service, a plain service and a route of each kind.
