gateway: a node that is behind reads all keys instead of every older version

Cause: the answer to a watch holds every version of each key in full. Behind a narrow link the newest version waited until all older ones had crossed it, and an answer above 8 MiB failed three times before all keys were read.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -21,10 +21,18 @@
 use crate::store::StoreErrorKind;
 use crate::store::WatchBatch;
 use crate::store::WatchEvent;
+use crate::store::WatchLimits;
 
 /// Longest time that one watch call waits for changes.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Limits of one watch call.
+///
+/// The answer holds every version of each key. When it takes longer than the limit, the node reads
+/// all keys, and so skips the versions between.
+const WATCH_LIMITS: WatchLimits =
+    WatchLimits { wait: WATCH_TIMEOUT, transfer: Duration::from_millis(700) };
+
 /// Shortest interval between two calls, so that changes in quick succession are read together.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -73,6 +81,8 @@
     },
     /// A record could not be read and was skipped.
     Skipped(TranslationError),
+    /// The changes cannot be read one by one; all keys are read instead.
+    Reloading(StoreError),
     /// A call of the service failed.
     Unreachable(StoreError),
 }
@@ -140,11 +150,12 @@
         }
     }
 
-    /// Watches for changes after `revision`, until it is compacted or several calls have failed.
+    /// Watches for changes after `revision`, until all keys have to be read again: the revision is
+    /// compacted, there are too many changes, or several calls have failed.
     async fn watch(&mut self, mut revision: RevisionNumber) {
         while !self.events.is_closed() {
             let sent_at = self.clock.now();
-            match self.store.changes(ALL_KEYS_PREFIX, revision, WATCH_TIMEOUT).await {
+            match self.store.changes(ALL_KEYS_PREFIX, revision, WATCH_LIMITS).await {
                 Ok(batch) => {
                     self.failures = 0;
                     revision = revision.max(batch.revision);
@@ -156,7 +167,14 @@
                     )
                     .await;
                 },
-                Err(error) if error.kind() == StoreErrorKind::Compacted => return,
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        StoreErrorKind::Backlog | StoreErrorKind::Compacted
+                    ) =>
+                {
+                    return self.send(FeedEvent::Reloading(error)).await;
+                },
                 Err(error) => {
                     self.report_failure(error).await;
                     if self.failures >= FAILURES_BEFORE_RELOAD {
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -311,6 +311,10 @@
                 warn!(self.logger, "control: skipping an unreadable record"; "error" => %error);
                 return;
             },
+            FeedEvent::Reloading(error) => {
+                info!(self.logger, "control: reading all keys again"; "error" => %error);
+                return;
+            },
             FeedEvent::Unreachable(error) => {
                 if self.state.record_store_unreachable(now) {
                     let age = self.shared.configuration_age(now);
--- a/crates/apricotknot-gateway/src/store/entry.rs
+++ b/crates/apricotknot-gateway/src/store/entry.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// Limits the time of one call that watches for changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WatchLimits {
+    /// Longest time to wait for the first change.
+    pub wait: Duration,
+    /// Longest time from the head of the answer to its last byte.
+    pub transfer: Duration,
+}
+
 /// Reports changes in the order in which the store made them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WatchBatch {
--- a/crates/apricotknot-gateway/src/store/error.rs
+++ b/crates/apricotknot-gateway/src/store/error.rs
@@ -17,6 +17,8 @@
 /// Groups the errors by what a caller can do about them.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum StoreErrorKind {
+    /// The changes since the requested revision take too long to transfer.
+    Backlog,
     /// The call rate limit of this node is reached; nothing was sent.
     BudgetSpent,
     /// The requested revision is no longer kept.
@@ -39,6 +41,7 @@
     /// Returns the name used in metrics and logs.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Backlog => "backlog",
             Self::BudgetSpent => "budget_spent",
             Self::Compacted => "compacted",
             Self::Malformed => "malformed",
@@ -114,6 +117,12 @@
         /// What is wrong with the answer.
         reason: String,
     },
+    /// The changes since the start of the watch are too many to be read one by one.
+    #[error("the changes take longer than {limit:?} to transfer; read the range instead")]
+    Backlog {
+        /// Longest time allowed for the transfer.
+        limit: Duration,
+    },
     /// The watch started at a revision that is no longer kept.
     #[error("revision {revision} is no longer kept; the oldest is {oldest}; read the range again")]
     Compacted {
@@ -159,6 +168,7 @@
             Self::TimedOut { .. } | Self::Undecided { .. } => StoreErrorKind::TimedOut,
             Self::TooLarge { .. } => StoreErrorKind::TooLarge,
             Self::Malformed { .. } => StoreErrorKind::Malformed,
+            Self::Backlog { .. } => StoreErrorKind::Backlog,
             Self::Compacted { .. } => StoreErrorKind::Compacted,
             Self::BudgetSpent { .. } => StoreErrorKind::BudgetSpent,
         }
@@ -171,6 +181,7 @@
             | Self::Rejected { .. }
             | Self::Reverted { .. }
             | Self::TooLarge { .. }
+            | Self::Backlog { .. }
             | Self::Compacted { .. }
             | Self::BudgetSpent { .. } => WriteCertainty::NotWritten,
             Self::Broken { .. }
--- a/crates/apricotknot-gateway/src/store/metadata_store.rs
+++ b/crates/apricotknot-gateway/src/store/metadata_store.rs
@@ -10,6 +10,7 @@
 use super::SwapOutcome;
 use super::SwapRequest;
 use super::WatchBatch;
+use super::WatchLimits;
 
 /// Reads, swaps and watches keys; each call is one call of the service.
 ///
@@ -54,17 +55,18 @@
     /// Returns why the keys could not be read.
     async fn range(&self, prefix: &str) -> Result<KeyRange, StoreError>;
 
-    /// Waits up to `wait` for changes under `prefix` after revision `after`.
+    /// Waits for changes under `prefix` after revision `after`.
     ///
     /// Returns an empty batch if there were none.
     ///
     /// # Errors
     ///
-    /// Returns why the changes could not be read.
+    /// Returns why the changes could not be read; [`StoreError::Backlog`] if their transfer would
+    /// exceed its limit.
     async fn changes(
         &self,
         prefix: &str,
         after: RevisionNumber,
-        wait: Duration,
+        limits: WatchLimits,
     ) -> Result<WatchBatch, StoreError>;
 }
--- a/crates/apricotknot-gateway/src/store/mod.rs
+++ b/crates/apricotknot-gateway/src/store/mod.rs
@@ -12,6 +12,7 @@
 pub use entry::SwapRequest;
 pub use entry::WatchBatch;
 pub use entry::WatchEvent;
+pub use entry::WatchLimits;
 pub use error::StoreError;
 pub use error::StoreErrorKind;
 pub use error::WriteCertainty;
