--- a/crates/apricotknot-core/src/fleet/part_history.rs
+++ b/crates/apricotknot-core/src/fleet/part_history.rs
@@ -54,6 +54,9 @@
 /// Maximum crashes, and maximum answered parts, in one snapshot.
 const MAX_REPORTS: usize = 16;
 
+/// Maximum crashes that wait to be sent to other nodes.
+const MAX_OWN_REPORTS: usize = 64;
+
 /// Digest of the id of one part of a prompt.
 pub type PromptPartId = u64;
 
@@ -138,6 +141,9 @@
         now: MonotonicTime,
     ) -> Vec<PromptPartId> {
         let quarantined = self.apply_crash(&report, now);
+        if self.own_reports.len() == MAX_OWN_REPORTS {
+            self.own_reports.remove(0);
+        }
         self.own_reports.push((now, report));
         quarantined
     }
@@ -174,7 +180,7 @@
         self.remove_expired(now);
         let mut quarantined = Vec::new();
         for part in &report.parts {
-            if !self.quarantined.contains_key(part) && self.is_convicted(*part, now) {
+            if !self.quarantined.contains_key(part) && self.has_reached_limit(*part, now) {
                 self.quarantine(*part, now);
                 quarantined.push(*part);
             }
@@ -262,7 +268,7 @@
             return;
         };
         // An older answer makes more crashes necessary.
-        let is_doubtful = !self.stored.contains(&part) && !self.is_convicted(part, now);
+        let is_doubtful = !self.stored.contains(&part) && !self.has_reached_limit(part, now);
         if quarantine.began < at || is_doubtful {
             self.quarantined.remove(&part);
         }
@@ -315,8 +321,8 @@
         answered.take(MAX_REPORTS).collect()
     }
 
-    /// Returns whether the crashes since the last answer suffice for a quarantine.
-    fn is_convicted(&self, part: PromptPartId, now: MonotonicTime) -> bool {
+    /// Returns whether the crashes since the last answer are enough for a quarantine.
+    fn has_reached_limit(&self, part: PromptPartId, now: MonotonicTime) -> bool {
         let limit = if self.was_answered(part, now) { ANSWERED_CRASH_LIMIT } else { CRASH_LIMIT };
         if self.crash_count(part) < limit {
             return false;
--- a/crates/apricotknot-core/tests/part_history.rs
+++ b/crates/apricotknot-core/tests/part_history.rs
@@ -51,7 +51,7 @@
 }
 
 #[test]
-fn part_of_bystanders_is_cleared_by_an_answer() {
+fn part_of_cut_off_prompts_is_cleared_by_an_answer() {
     let mut history = crashed_history();
     history.record_answer(&[COMMON], after_ms(700));
     assert!(!history.is_quarantined(&[COMMON], after_ms(700)));
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn bystanders_of_one_crash_count_once() {
+fn prompts_that_one_crash_cuts_off_count_once() {
     let mut history = PartHistory::default();
     for attempt in 0..30 {
         let report = PartCrashReport { endpoint: "engine".into(), ..crash(attempt, &[COMMON]) };
@@ -104,10 +104,10 @@
     let mut quarantined = Vec::new();
     for attempt in 1..=20 {
         let at = after_ms(attempt * 400);
-        // The connections of bystanders may break before that of the request that crashes.
-        let bystander =
+        // The connection of another request may break before that of the one that crashes.
+        let cut_off =
             PartCrashReport { attempt: 1_000 + u128::from(attempt), ..crash(attempt, &[COMMON]) };
-        quarantined.extend(history.record_crash(bystander, at));
+        quarantined.extend(history.record_crash(cut_off, at));
         quarantined
             .extend(history.record_crash(crash(attempt, &[BAD]), at + Duration::from_millis(9)));
     }
@@ -205,7 +205,10 @@
         history.record_answer(&[part], after_ms(2_000 + part));
         history.apply_crash(&crash(part, &[part + 100_000]), after_ms(2_000 + part));
     }
-    assert!(history.is_quarantined(&[BAD], after_ms(12_000)), "verdicts outlive other suspects");
+    assert!(
+        history.is_quarantined(&[BAD], after_ms(12_000)),
+        "a quarantine outlives other suspects"
+    );
 }
 
 #[test]
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -27,7 +27,7 @@
 pub use registry::NodeRecord;
 pub use registry::NodeRegistry;
 pub use registry::RegistryChange;
-pub use request_quarantine::PartVerdict;
+pub use request_quarantine::QuarantineNotice;
 pub use runner::ControlParts;
 pub use runner::start_control;
 pub use shared::SharedState;
--- a/crates/apricotknot-gateway/src/control/request_quarantine.rs
+++ b/crates/apricotknot-gateway/src/control/request_quarantine.rs
@@ -19,10 +19,10 @@
 
 /// Reports that a part of prompts is quarantined from now on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PartVerdict {
+pub struct QuarantineNotice {
     /// Digest of the part.
     pub part: PromptPartId,
-    /// Number of crashes that led to the verdict.
+    /// Number of crashes that led to the quarantine.
     pub crashes: usize,
     /// Whether this node detected the last of the crashes.
     pub is_own: bool,
@@ -35,8 +35,8 @@
     parts: PartHistory,
     /// Requests whose connections broke, with the endpoints that may have crashed, and when.
     suspected_crashes: Vec<(MonotonicTime, CrashReport)>,
-    /// Verdicts that were not taken yet.
-    verdicts: Vec<PartVerdict>,
+    /// Notices that were not taken yet.
+    notices: Vec<QuarantineNotice>,
 }
 
 impl RequestQuarantine {
@@ -48,7 +48,7 @@
     /// Records that a connection broke before the answer to a prompt began.
     pub(super) fn record_prompt_broken(&mut self, report: PartCrashReport, now: MonotonicTime) {
         let quarantined = self.parts.record_crash(report, now);
-        self.add_verdicts(quarantined, true);
+        self.add_notices(quarantined, true);
     }
 
     /// Records that a request was answered completely.
@@ -85,7 +85,7 @@
         }
         for report in std::mem::take(&mut snapshot.part_crashes) {
             let quarantined = self.parts.apply_crash(&report, now);
-            self.add_verdicts(quarantined, false);
+            self.add_notices(quarantined, false);
         }
         for report in std::mem::take(&mut snapshot.part_answers) {
             self.parts.apply_answer(report, now);
@@ -133,15 +133,15 @@
         self.parts.is_quarantined(parts, now) && !(may_probe && self.parts.try_probe(parts, now))
     }
 
-    /// Takes the verdicts since the last call.
-    pub(super) fn take_verdicts(&mut self) -> Vec<PartVerdict> {
-        std::mem::take(&mut self.verdicts)
+    /// Takes the notices since the last call.
+    pub(super) fn take_notices(&mut self) -> Vec<QuarantineNotice> {
+        std::mem::take(&mut self.notices)
     }
 
-    fn add_verdicts(&mut self, quarantined: Vec<PromptPartId>, is_own: bool) {
+    fn add_notices(&mut self, quarantined: Vec<PromptPartId>, is_own: bool) {
         for part in quarantined {
             let crashes = self.parts.crash_count(part);
-            self.verdicts.push(PartVerdict { part, crashes, is_own });
+            self.notices.push(QuarantineNotice { part, crashes, is_own });
         }
     }
 }
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -231,23 +231,24 @@
                 () = tokio::time::sleep(tick) => (InputKind::Other, self.clock.now()),
             };
             self.state.tick(self.clock.now());
-            self.publish_verdicts();
+            self.publish_notices();
             self.send_snapshot();
             self.record_load(kind, woken);
         }
     }
 
-    /// Logs the verdicts on prompt parts, and records those of this node in the key-value service.
-    fn publish_verdicts(&mut self) {
-        for verdict in self.state.take_verdicts() {
+    /// Logs newly quarantined prompt parts, and records those that this node found in the key-value
+    /// service.
+    fn publish_notices(&mut self) {
+        for notice in self.state.take_notices() {
             warn!(
                 self.logger, "control: prompt part quarantined; refusing prompts that contain it";
-                "part" => verdict.part, "crashes" => verdict.crashes, "is_own" => verdict.is_own
+                "part" => notice.part, "crashes" => notice.crashes, "is_own" => notice.is_own
             );
-            if verdict.is_own && self.recorder.try_send(verdict.part).is_err() {
+            if notice.is_own && self.recorder.try_send(notice.part).is_err() {
                 warn!(
                     self.logger, "quarantine: too many prompt parts to record; dropping one";
-                    "part" => verdict.part
+                    "part" => notice.part
                 );
             }
         }
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -32,9 +32,9 @@
 use super::EndpointGrant;
 use super::HelperGrant;
 use super::NodeRegistry;
-use super::PartVerdict;
 use super::PlacementRefusal;
 use super::PlacementRequest;
+use super::QuarantineNotice;
 use super::RegistryChange;
 use super::StoreUpdate;
 use super::request_quarantine::RequestQuarantine;
@@ -240,9 +240,9 @@
         }
     }
 
-    /// Takes the verdicts on prompt parts since the last call.
-    pub fn take_verdicts(&mut self) -> Vec<PartVerdict> {
-        self.quarantine.take_verdicts()
+    /// Takes the notices of newly quarantined prompt parts since the last call.
+    pub fn take_notices(&mut self) -> Vec<QuarantineNotice> {
+        self.quarantine.take_notices()
     }
 
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -45,7 +45,7 @@
 const COMMON_PARTS: u64 = 12;
 
 /// Other requests that a crash cuts off, at most.
-const BYSTANDERS: usize = 6;
+const CUT_OFF_REQUESTS: usize = 6;
 
 struct TestNode {
     state: ControlState,
@@ -195,7 +195,7 @@
         }
         let mut cut = vec![request];
         let mut index = 0;
-        while index < open.len() && cut.len() <= BYSTANDERS {
+        while index < open.len() && cut.len() <= CUT_OFF_REQUESTS {
             if open[index].1.endpoint == grant.endpoint {
                 cut.push(open.swap_remove(index).0);
             } else {
@@ -234,9 +234,9 @@
     assert!((3..=5).contains(&counts.bad_sent), "{} requests reached endpoints", counts.bad_sent);
     assert!(counts.sound_sent > 1_300, "{} sound requests were sent", counts.sound_sent);
     assert_eq!(counts.sound_refused, 0, "prompts that share other parts are served");
-    let verdicts: Vec<_> = nodes.iter_mut().flat_map(|node| node.state.take_verdicts()).collect();
-    assert!(verdicts.iter().all(|verdict| verdict.part == BAD), "{verdicts:?}");
-    assert!(verdicts.iter().any(|verdict| verdict.is_own), "one node records the part");
+    let notices: Vec<_> = nodes.iter_mut().flat_map(|node| node.state.take_notices()).collect();
+    assert!(notices.iter().all(|notice| notice.part == BAD), "{notices:?}");
+    assert!(notices.iter().any(|notice| notice.is_own), "one node records the part");
 }
 
 #[test]
