tests: a prompt that fails after a drain without the store prints the log of its node

Evidence: the check is as strict as before; its message is longer. Conclusion: the next failure can be traced.

--- a/crates/apricotknot/tests/fleet_membership.rs
+++ b/crates/apricotknot/tests/fleet_membership.rs
@@ -168,7 +168,8 @@
     println!("a node that started without the store serves after {:?}", restarted.elapsed());
     let others = finished(&fleet, 0).await;
     for number in 0..60 {
-        assert_eq!(prompt(&fleet, number % NODES).await, 200);
+        let index = number % NODES;
+        assert_eq!(prompt(&fleet, index).await, 200, "{}", fleet.node_log_tail(index));
     }
     assert_eq!(finished(&fleet, 1).await, seen, "no new work for the drained data centre");
     assert_eq!(finished(&fleet, 0).await, others + 60);
