--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -3,6 +3,8 @@
 
 #![allow(clippy::expect_used, reason = "test helpers may panic")]
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +12,6 @@
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::EndpointEntry;
-use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::EngineModel;
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PlacementQuery;
@@ -33,6 +34,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use support::engine_entry;
+
 const NOW: Duration = Duration::from_secs(100);
 
 type PlacementReceiver = oneshot::Receiver<Result<EndpointGrant, PlacementRefusal>>;
@@ -109,16 +112,7 @@
 }
 
 fn entry(index: usize) -> EndpointEntry {
-    EndpointEntry {
-        id: format!("engine-{index}").into(),
-        incarnation: 1,
-        service: "model".into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        data_centre: "north".into(),
-        slots: 2,
-        phase: EndpointPhase::Ready,
-        cold_until: Duration::ZERO,
-    }
+    engine_entry(index, 2)
 }
 
 fn desired(version: u64) -> DesiredState {
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -2,12 +2,13 @@
 
 #![allow(clippy::expect_used, reason = "test helpers may panic")]
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::fleet::EndpointEntry;
-use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::PromptPartId;
@@ -27,6 +28,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use support::engine_entry;
+
 const START: Duration = Duration::from_secs(100);
 
 /// Part that crashes each endpoint that begins to answer a prompt with it.
@@ -107,16 +110,7 @@
 }
 
 fn entry(index: usize) -> EndpointEntry {
-    EndpointEntry {
-        id: format!("engine-{index}").into(),
-        incarnation: 1,
-        service: "model".into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        data_centre: "north".into(),
-        slots: 16,
-        phase: EndpointPhase::Ready,
-        cold_until: Duration::ZERO,
-    }
+    engine_entry(index, 16)
 }
 
 #[derive(Clone)]
