gateway: answers that clear suspect parts reach other nodes, however many parts are suspect

Flapping engines make more parts suspect than that, so a part with a higher id was cleared at no other node, and three crashes sufficed there. Why this works: 64 parts are carried, quarantined ones first, then those with the most crashes; a part near a limit is always among them.

--- a/crates/apricotknot-core/src/fleet/part_history.rs
+++ b/crates/apricotknot-core/src/fleet/part_history.rs
@@ -1,5 +1,6 @@
 //! History of the parts of prompts that were being answered when an endpoint crashed.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -51,9 +52,12 @@
 /// Maximum parts whose crashes or answers are kept.
 const MAX_PARTS: usize = 4_096;
 
-/// Maximum crashes, and maximum answered parts, in one snapshot.
+/// Maximum crashes in one snapshot.
 const MAX_REPORTS: usize = 16;
 
+/// Maximum answered parts in one snapshot.
+const MAX_ANSWER_REPORTS: usize = 64;
+
 /// Maximum crashes that wait to be sent to other nodes.
 const MAX_OWN_REPORTS: usize = 64;
 
@@ -310,15 +314,23 @@
     }
 
     /// Returns the suspect parts to which this node received answers, for the snapshots sent to
-    /// other nodes.
+    /// other nodes; those with the most crashes first.
     pub fn answered_suspects(&self, now: MonotonicTime) -> Vec<PartAnswerReport> {
         let suspects: BTreeSet<_> = self.crashes.keys().chain(self.quarantined.keys()).collect();
-        let answered = suspects.into_iter().filter_map(|part| {
-            let at = *self.own_answers.get(part)?;
-            (at + ANSWER_LIFETIME > now)
-                .then(|| PartAnswerReport { part: *part, age_ms: age_ms(at, now) })
+        let mut answered: Vec<_> = suspects
+            .into_iter()
+            .filter_map(|part| {
+                let at = *self.own_answers.get(part)?;
+                (at + ANSWER_LIFETIME > now)
+                    .then(|| PartAnswerReport { part: *part, age_ms: age_ms(at, now) })
+            })
+            .collect();
+        answered.sort_by_key(|report| {
+            let crashes = self.crashes.get(&report.part).map_or(0, Vec::len);
+            Reverse((self.quarantined.contains_key(&report.part), crashes))
         });
-        answered.take(MAX_REPORTS).collect()
+        answered.truncate(MAX_ANSWER_REPORTS);
+        answered
     }
 
     /// Returns whether the crashes since the last answer are enough for a quarantine.
--- a/crates/apricotknot-core/tests/part_history.rs
+++ b/crates/apricotknot-core/tests/part_history.rs
@@ -175,6 +175,20 @@
     assert_eq!(answered, [PartAnswerReport { part: COMMON, age_ms: 150 }]);
 }
 
+// Guards against answers that other nodes never learn of, as many parts are suspect at once.
+#[test]
+fn answers_to_the_parts_with_the_most_crashes_are_reported_first() {
+    let mut history = PartHistory::default();
+    let parts: Vec<PromptPartId> = (0..300).collect();
+    history.record_answer(&parts, NOW);
+    for part in 0..300 {
+        history.record_crash(crash(part, &[part]), after_ms(1));
+    }
+    history.record_crash(crash(1_001, &[299]), after_ms(700));
+    let reported = history.answered_suspects(after_ms(800));
+    assert_eq!((reported.len(), reported[0].part), (64, 299));
+}
+
 #[test]
 fn recorded_part_is_quarantined_until_it_is_answered_or_released() {
     let mut history = PartHistory::default();
