gateway: an answer that clears a part is told to the other nodes

Cause: a node told others of answers only to parts that were suspect to itself, and its own answer cleared them first. So an answer that clears a part stayed with the node that got it, and with 71 nodes few saw one of their own. Why this works: parts of crashes of the last 10 s are kept apart from what counts against them, and answers to them are told.

--- a/crates/apricotknot-core/src/fleet/part_history.rs
+++ b/crates/apricotknot-core/src/fleet/part_history.rs
@@ -43,6 +43,9 @@
 /// Time for which a part is quarantined.
 const QUARANTINE_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Time after a crash for which answers to its parts are reported to other nodes.
+const SUSPECT_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Time for which a crash is included in the snapshots sent to other nodes.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -124,6 +127,8 @@
 pub struct PartHistory {
     /// Broken connections since the last known answer, by part.
     crashes: HashMap<PromptPartId, Vec<PartCrash>>,
+    /// Time of the last reported crash, by part; also of parts that were answered since.
+    suspects: HashMap<PromptPartId, MonotonicTime>,
     /// Time of the last known answer, by part.
     answers: HashMap<PromptPartId, MonotonicTime>,
     /// Time of the last answer that this node received, by part.
@@ -163,6 +168,8 @@
         let at = now.saturating_sub(Duration::from_millis(u64::from(report.age_ms)));
         let mut is_known = true;
         for part in &report.parts {
+            let reported = self.suspects.entry(*part).or_insert(at);
+            *reported = at.max(*reported);
             if self.answers.get(part).is_some_and(|answered| *answered >= at) {
                 continue;
             }
@@ -178,6 +185,7 @@
                 });
             }
         }
+        self.suspects.retain(|_, reported| *reported + SUSPECT_LIFETIME > now);
         if is_known {
             return Vec::new();
         }
@@ -316,7 +324,11 @@
     /// Returns the suspect parts to which this node received answers, for the snapshots sent to
     /// other nodes; those with the most crashes first.
     pub fn answered_suspects(&self, now: MonotonicTime) -> Vec<PartAnswerReport> {
-        let suspects: BTreeSet<_> = self.crashes.keys().chain(self.quarantined.keys()).collect();
+        let reported = self.suspects.iter();
+        let reported =
+            reported.filter(|(_, at)| **at + SUSPECT_LIFETIME > now).map(|(part, _)| part);
+        let suspects: BTreeSet<_> =
+            reported.chain(self.crashes.keys()).chain(self.quarantined.keys()).collect();
         let mut answered: Vec<_> = suspects
             .into_iter()
             .filter_map(|part| {
--- a/crates/apricotknot-core/tests/part_history.rs
+++ b/crates/apricotknot-core/tests/part_history.rs
@@ -189,6 +189,21 @@
     assert_eq!((reported.len(), reported[0].part), (64, 299));
 }
 
+// Guards against a part that one node clears and all others quarantine.
+#[test]
+fn answer_that_clears_a_part_is_reported_to_other_nodes() {
+    let mut history = PartHistory::default();
+    history.apply_crash(&crash(1, &[COMMON]), NOW);
+    history.record_answer(&[COMMON], after_ms(100));
+    let expected = [PartAnswerReport { part: COMMON, age_ms: 200 }];
+    assert_eq!(history.answered_suspects(after_ms(300)), expected);
+    let late = PartCrashReport { age_ms: 350, ..crash(2, &[COMMON]) };
+    history.apply_crash(&late, after_ms(400));
+    assert_eq!(history.crash_count(COMMON), 0, "the crash was before the answer");
+    assert_eq!(history.answered_suspects(after_ms(300)), expected);
+    assert!(history.answered_suspects(after_ms(20_000)).is_empty(), "the crash is long past");
+}
+
 #[test]
 fn recorded_part_is_quarantined_until_it_is_answered_or_released() {
     let mut history = PartHistory::default();
