gateway: reads and logs the request rates that endpoints state

An answer's limit is read at the boundary and told to the control thread, which logs when an endpoint begins to state one, states another or ends it; the line of a placement says whether the endpoint was known to be limited. An answer without a limit ends one only if its request was sent after the limit was stated, as answers overtake one another. A limit that cannot be read is logged and counts as one request a second. No decision uses it yet.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -13,6 +13,9 @@
 use super::LoadSnapshot;
 use super::PlacementPlan;
 use super::PlacementQuery;
+use super::RateChange;
+use super::RateStatement;
+use super::StatedRate;
 use super::WaitSnapshot;
 use super::WorkItem;
 use super::WorkPhase;
@@ -37,6 +40,9 @@
 /// Maximum waiting requests in one load snapshot.
 const MAX_WAIT_SNAPSHOTS: usize = 16;
 
+/// Limit, in requests per second, of an endpoint that states one which cannot be read.
+const UNREADABLE_RATE: f64 = 1.0;
+
 /// Registration of one endpoint, with the health that this node has observed.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -49,6 +55,8 @@
     /// It makes nodes rank otherwise equal endpoints in different orders; 0 ranks first.
     pub jitter: f64,
     cold_limiter: ColdLimiter,
+    /// Limit that the endpoint stated, if it ever stated one.
+    stated_rate: Option<StatedRate>,
 }
 
 #[derive(Clone, Debug)]
@@ -106,7 +114,10 @@
                 let (health, cold_limiter) = (HealthRecord::default(), ColdLimiter::default());
                 let hash = hash_text(self.jitter_seed, &id) >> 32;
                 let jitter = hash as f64 / f64::from(u32::MAX);
-                self.endpoints.insert(id, EndpointState { entry, health, jitter, cold_limiter });
+                self.endpoints.insert(
+                    id,
+                    EndpointState { entry, health, jitter, cold_limiter, stated_rate: None },
+                );
             },
         }
     }
@@ -202,6 +213,39 @@
         }
     }
 
+    /// Records what an answer states about the request rate that its endpoint accepts.
+    ///
+    /// `sent_at` is the time at which the request was sent. Returns the change of the known limit,
+    /// if there is one. An answer without a limit ends a limit only if its request was sent after
+    /// the limit was stated: answers on different connections may overtake each other.
+    pub fn record_rate_statement(
+        &mut self,
+        endpoint: &str,
+        statement: RateStatement,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Option<RateChange> {
+        let state = self.endpoints.get_mut(endpoint)?;
+        let known = state.stated_rate.as_ref();
+        let known_limit = known.and_then(|rate| rate.per_second);
+        let (per_second, stated_at) = match statement {
+            RateStatement::PerSecond(rate) => (Some(rate), now),
+            RateStatement::Unreadable => (Some(known_limit.unwrap_or(UNREADABLE_RATE)), now),
+            RateStatement::Unlimited => {
+                known.filter(|rate| sent_at > rate.stated_at)?;
+                (None, sent_at)
+            },
+        };
+        let is_new = known_limit != per_second;
+        state.stated_rate = Some(StatedRate { per_second, stated_at });
+        is_new.then(|| RateChange {
+            endpoint: Arc::clone(&state.entry.id),
+            per_second,
+            is_unreadable: statement == RateStatement::Unreadable,
+            is_own: true,
+        })
+    }
+
     /// Applies the snapshot of another node; returns whether it is newer than the known one.
     ///
     /// An older snapshot is ignored.
@@ -245,6 +289,11 @@
         self.own_work.get(&attempt)?.first().map(|work| &work.endpoint)
     }
 
+    /// Returns the limit of an endpoint's request rate, in requests per second, if it states one.
+    pub fn stated_limit(&self, endpoint: &str) -> Option<f64> {
+        self.endpoints.get(endpoint)?.stated_rate.as_ref()?.per_second
+    }
+
     /// Returns the profile of a service, or `None` if it is not configured.
     pub fn service(&self, service: &str) -> Option<&ServiceProfile> {
         self.services.get(service)
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod prompt_split;
 mod retry_limiter;
+mod stated_rate;
 mod work;
 
 pub use cold_limiter::ColdLimiter;
@@ -43,6 +44,9 @@
 pub use placement::place;
 pub use retry_limiter::RetryLimiter;
 pub use retry_limiter::RetryPolicy;
+pub use stated_rate::RateChange;
+pub use stated_rate::RateStatement;
+pub use stated_rate::StatedRate;
 pub use work::RequestSize;
 pub use work::WorkItem;
 pub use work::WorkPhase;
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -8,9 +8,11 @@
 use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::PromptPartId;
+use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestFingerprint;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::TokenCount;
 use tokio::sync::oneshot;
 
@@ -44,6 +46,8 @@
     pub address: SocketAddr,
     /// Endpoints that prefill parts of the prompt.
     pub helpers: Vec<HelperGrant>,
+    /// Whether the endpoint states a limit of its request rate.
+    pub is_rate_limited: bool,
     /// Time from the start of the attempt until the answer is expected to begin.
     pub expected_start: Duration,
 }
@@ -94,6 +98,15 @@
         /// Ratio of the actual to the expected time until the answer began.
         slowdown: f64,
     },
+    /// An answer states the request rate that its endpoint accepts.
+    RateStated {
+        /// Endpoint that answered.
+        endpoint: EndpointId,
+        /// What the answer states.
+        statement: RateStatement,
+        /// Time at which the request was sent.
+        sent_at: MonotonicTime,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Identifies the attempt.
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -232,6 +232,7 @@
             };
             self.state.tick(self.clock.now());
             self.publish_notices();
+            self.log_rate_changes();
             self.send_snapshot();
             self.record_load(kind, woken);
         }
@@ -254,6 +255,29 @@
         }
     }
 
+    /// Logs the limits that endpoints state from now on, and those that have ended.
+    fn log_rate_changes(&mut self) {
+        for change in self.state.take_rate_changes() {
+            let (endpoint, is_own) = (&*change.endpoint, change.is_own);
+            if change.is_unreadable {
+                warn!(
+                    self.logger, "control: endpoint states an unreadable rate limit; using a default";
+                    "endpoint" => endpoint, "per_s" => change.per_second, "is_own" => is_own
+                );
+                continue;
+            }
+            let event = match change.per_second {
+                Some(_) => "endpoint limits its request rate",
+                None => "endpoint limits its request rate no more",
+            };
+            info!(
+                self.logger, "control: {}", event;
+                "endpoint" => endpoint, "per_s" => change.per_second, "is_own" => is_own,
+                "nodes" => self.state.registry().count()
+            );
+        }
+    }
+
     /// Records the load of the loop, and logs an interval in which the thread was overloaded.
     fn record_load(&mut self, kind: InputKind, woken: MonotonicTime) {
         let Some(report) = self.load.record(kind, woken, self.clock.now()) else {
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -14,6 +14,7 @@
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::RateChange;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::place;
@@ -89,6 +90,8 @@
     next_pass: MonotonicTime,
     /// Number of times that a request was weighed against the fleet.
     placement_count: u64,
+    /// Changes of endpoints' limits that were not taken yet.
+    rate_changes: Vec<RateChange>,
     desired: Option<Arc<DesiredState>>,
     peer_secret: Option<Vec<u8>>,
     store_unreachable_since: Option<MonotonicTime>,
@@ -120,6 +123,7 @@
             wait_queue: WaitQueue::default(),
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
+            rate_changes: Vec::new(),
             desired: None,
             peer_secret: None,
             store_unreachable_since: None,
@@ -136,6 +140,10 @@
                 self.fleet.record_first_event(attempt, now);
                 self.fleet.record_slowdown(&endpoint, slowdown, now);
             },
+            ControlCommand::RateStated { endpoint, statement, sent_at } => {
+                let change = self.fleet.record_rate_statement(&endpoint, statement, sent_at, now);
+                self.rate_changes.extend(change);
+            },
             ControlCommand::AttemptEnded { attempt, end } => self.end_attempt(attempt, end, now),
             ControlCommand::ConnectionBroken { fingerprint, endpoint } => {
                 self.quarantine.record_broken(CrashReport { fingerprint, endpoint }, now);
@@ -245,6 +253,11 @@
         self.quarantine.take_notices()
     }
 
+    /// Takes the changes of endpoints' limits since the last call.
+    pub fn take_rate_changes(&mut self) -> Vec<RateChange> {
+        std::mem::take(&mut self.rate_changes)
+    }
+
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
     pub fn next_snapshot(&mut self, now: MonotonicTime) -> LoadSnapshot {
         self.sequence += 1;
@@ -358,8 +371,10 @@
         let attempt = waiting.request.attempt;
         self.fleet.record_start(attempt, &waiting.request.query, &plan, now);
         let (endpoint, expected_start) = (plan.endpoint, plan.expected_start);
+        let is_rate_limited = self.fleet.stated_limit(&endpoint).is_some();
         let guard = AttemptGuard::new(self.handle.clone(), attempt);
-        let grant = EndpointGrant { guard, endpoint, address, helpers, expected_start };
+        let grant =
+            EndpointGrant { guard, endpoint, address, helpers, is_rate_limited, expected_start };
         // A grant that is not received reports its end when it is dropped.
         let _ = waiting.reply.send(Ok(grant));
     }
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -26,6 +26,8 @@
     pub(super) exchange: EndpointExchange,
     /// Longest time without the next part of the answer, or `None` for no limit.
     pub(super) silence_limit: Option<Duration>,
+    /// Whether the endpoint was known to limit its request rate when the attempt was granted.
+    pub(super) is_rate_limited: bool,
     /// Time until the answer was expected to begin.
     pub(super) expected_start: Duration,
     /// Whether the first event of the answer has arrived.
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -221,6 +221,7 @@
                     silence_limit: self.silence_limit(grant.expected_start),
                     helpers: grant.helpers,
                     _reservations: reservations,
+                    is_rate_limited: grant.is_rate_limited,
                     expected_start: grant.expected_start,
                     has_begun: false,
                     sent_at: self.now(),
@@ -244,6 +245,7 @@
         head: ResponseHead,
     ) -> Result<AnsweredAttempt, CallInterrupt> {
         let metadata = self.context.protocol.read_answer(&head);
+        self.report_rate(&open, &metadata);
         if metadata.is_misdirected || metadata.is_not_run {
             let end = match metadata.is_misdirected {
                 true => AttemptEnd::Unreachable,
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::types::EndpointId;
 use slog::info;
 use slog::warn;
@@ -15,6 +16,7 @@
 use crate::clock::millis;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
+use crate::protocol::AnswerMetadata;
 use crate::protocol::CallProtocol;
 
 /// Lower bound of the expected time until an answer begins, for the slowdown of an endpoint.
@@ -44,11 +46,30 @@
         self.context.metrics.answer_begin.observe(waited.as_secs_f64());
     }
 
+    /// Reports to the control thread what an answer states about the rate of its endpoint.
+    ///
+    /// Only an answer that the endpoint made for this request can state that there is no limit.
+    pub(super) fn report_rate(&self, open: &OpenAttempt, metadata: &AnswerMetadata) {
+        let may_end_limit = open.is_rate_limited
+            && metadata.is_sealed
+            && metadata.request_id.as_deref() == Some(&*self.call.metadata.request_id);
+        let is_unlimited = metadata.rate_statement == RateStatement::Unlimited;
+        if metadata.is_misdirected || (is_unlimited && !may_end_limit) {
+            return;
+        }
+        self.context.control.send(ControlCommand::RateStated {
+            endpoint: Arc::clone(&open.endpoint),
+            statement: metadata.rate_statement,
+            sent_at: open.sent_at,
+        });
+    }
+
     /// Logs the endpoint of the next attempt, and the state of the placement.
     pub(super) fn log_placement(&self, grant: &EndpointGrant) {
         info!(
             self.context.logger, "call: placed";
             "request" => %self.call.metadata.request_id, "endpoint" => %grant.endpoint,
+            "is_rate_limited" => grant.is_rate_limited,
             "helpers" => grant.helpers.len(), "held" => grant.reserved_tokens(),
             "prompt" => self.call.metadata.size.prompt,
             "expected_ms" => millis(grant.expected_start),
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -7,6 +7,7 @@
 use actix_http::RequestHead;
 use actix_http::ResponseHead;
 use apricotknot_core::fleet::PromptPartId;
+use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EndpointId;
@@ -92,7 +93,7 @@
 }
 
 /// Holds the metadata of an answer, from the headers that the endpoint sent.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMetadata {
     /// Id of the request that is answered, if stated.
     pub request_id: Option<Arc<str>>,
@@ -104,6 +105,8 @@
     pub at_fault: Option<Arc<str>>,
     /// Whether the answer is from another endpoint than the intended one.
     pub is_misdirected: bool,
+    /// Rate of requests that the endpoint accepts from all nodes together.
+    pub rate_statement: RateStatement,
 }
 
 /// Translates between the headers of a platform and the types of the gateway.
