tests: endpoints that state a request rate get far more, reproduced and listed as red

Three node processes before two stand-in engines, one of which names a limit of 2 a second: 273 requests reach it in 4 s, 17 are allowed. In the decisions alone, 8 nodes and a limit of 0.1 a second: 64 in 4 s, 5.6 allowed.

--- a/crates/apricotknot-gateway/tests/support/mod.rs
+++ b/crates/apricotknot-gateway/tests/support/mod.rs
@@ -1,4 +1,7 @@
-//! Values that several tests of the control state use.
+//! Values and plays that several tests of the control state use.
+
+#[allow(dead_code, reason = "not every test plays limits")]
+pub(crate) mod rate_fleet;
 
 use std::time::Duration;
 
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -68,6 +68,8 @@
 struct EndpointState {
     id: String,
     fault: EndpointFault,
+    /// Value of the header `server-limit` in answers, if they have one.
+    rate_limit: Option<String>,
     event_interval: Duration,
     executions: Vec<ExecutionRecord>,
     /// Reserved tokens by id, each with the time at which the reservation expires.
@@ -117,6 +119,7 @@
         let state = Arc::new(Mutex::new(EndpointState {
             id: id.to_owned(),
             fault: EndpointFault::None,
+            rate_limit: None,
             event_interval: Duration::from_millis(5),
             executions: Vec::new(),
             reservations: BTreeMap::new(),
@@ -134,6 +137,11 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the request rate, in requests per second, that further answers name as the limit.
+    pub fn set_rate_limit(&self, limit: Option<&str>) {
+        self.lock().rate_limit = limit.map(str::to_owned);
+    }
+
     /// Sets the time between two events of a stream.
     pub fn set_event_interval(&self, interval: Duration) {
         self.lock().event_interval = interval;
@@ -191,20 +199,21 @@
         if call.path == "/order" {
             return self.handle_reservation(&call);
         }
-        let (fault, interval) = {
+        let (fault, interval, limit) = {
             let state = self.lock();
             if call.header("expect-instance") != Some(&state.id) {
                 return HttpReply::json(421, &json!({})).header("instance-id", &state.id);
             }
-            (state.fault, state.event_interval)
+            (state.fault, state.event_interval, state.rate_limit.clone())
         };
         if fault == EndpointFault::Full {
-            return HttpReply::json(503, &json!({})).header("not-executed", "1");
+            let reply = HttpReply::json(503, &json!({})).header("not-executed", "1");
+            return with_rate_limit(reply, limit);
         }
         let record = execution_record(&call);
         self.lock().executions.push(record.clone());
         let guard = StreamGuard { state: Arc::clone(&self.state), is_complete: false };
-        answer(&call, &record, fault, interval, guard)
+        with_rate_limit(answer(&call, &record, fault, interval, guard), limit)
     }
 
     fn crash(self: Rc<Self>) {}
@@ -235,6 +244,13 @@
     }
 }
 
+fn with_rate_limit(reply: HttpReply, limit: Option<String>) -> HttpReply {
+    match limit {
+        Some(limit) => reply.header("server-limit", &limit),
+        None => reply,
+    }
+}
+
 fn execution_record(call: &HttpCall) -> ExecutionRecord {
     let text = |name| call.header(name).map(str::to_owned);
     let number = |name| call.header(name).and_then(|text| text.parse().ok());
