fleet: nodes share the request rates that endpoints state, and those of cold endpoints

What callers saw: nothing at first; an engine in need got all the requests that its load made it attractive for (29 in 4 s at a limit of 1 a second, 11 allowed), and such engines slow down or fail.

Cause: no node read the limit (hypothesis 1; 2 and 3 ruled out, as the rate at both engines does not change at 8 s, from any of the 8 nodes, which all had answers of them). Class: a limit of the whole fleet that each node would apply on its own. The same cause stood in the limit of cold endpoints: every node could send one request a second, however many nodes there are, so 71 nodes passed a rate of 26.

Fix: `SharedRate` divides a rate among all nodes, in windows of 4 s (1 s for cold endpoints). Where it holds fewer requests than there are nodes, the first nodes in the order of the endpoint send them, and each node sends at regular intervals, so the sum over all nodes keeps the rate without a message. The order is a ring: a node more or less moves each other by one position, so views that differ by one node exceed the rate by one request a window. A limit ends with an answer that does not name it, to a request sent after it was last named; a limited endpoint is still asked at its share, at least once in 10 s, and by one further node a window after two silent ones, so no limit lasts for ever. A grant older than 20 ms is confirmed before it is sent. When the rates of all endpoints leave no room in time, a request is refused at once, not run, with the time that its turn takes.

The test of the limit of cold endpoints tested `ColdLimiter`, which is gone; its place takes `requests_of_all_nodes_stay_within_a_shared_rate`, with up to 80 nodes instead of 8 and rates from 0.1 instead of 8.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -7,20 +7,17 @@
 use std::time::Duration;
 
 use super::AttemptEnd;
-use super::ColdLimiter;
 use super::EndpointEntry;
-use super::HealthRecord;
 use super::LoadSnapshot;
+use super::NodeOrder;
 use super::PlacementPlan;
 use super::PlacementQuery;
-use super::RateChange;
-use super::RateStatement;
-use super::StatedRate;
 use super::WaitSnapshot;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
 use super::WorkSnapshot;
+use super::endpoint_state::EndpointState;
 use crate::membership::hash_text;
 use crate::routing::ServiceProfile;
 use crate::types::AttemptId;
@@ -40,25 +37,6 @@
 /// Maximum waiting requests in one load snapshot.
 const MAX_WAIT_SNAPSHOTS: usize = 16;
 
-/// Limit, in requests per second, of an endpoint that states one which cannot be read.
-const UNREADABLE_RATE: f64 = 1.0;
-
-/// Registration of one endpoint, with the health that this node has observed.
-#[derive(Clone, Debug)]
-pub struct EndpointState {
-    /// Data that the endpoint registered.
-    pub entry: EndpointEntry,
-    /// Health that this node has observed.
-    pub health: HealthRecord,
-    /// Hash of the node and the endpoint, from 0 to 1.
-    ///
-    /// It makes nodes rank otherwise equal endpoints in different orders; 0 ranks first.
-    pub jitter: f64,
-    cold_limiter: ColdLimiter,
-    /// Limit that the endpoint stated, if it ever stated one.
-    stated_rate: Option<StatedRate>,
-}
-
 #[derive(Clone, Debug)]
 struct PeerView {
     incarnation: u64,
@@ -69,20 +47,22 @@
 }
 
 /// Holds the endpoints that one node knows, its own work and the last snapshot of each other node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FleetState {
-    endpoints: BTreeMap<EndpointId, EndpointState>,
+    pub(super) endpoints: BTreeMap<EndpointId, EndpointState>,
+    /// Name of this node.
+    node: NodeId,
     /// Hash of this node's id, the seed of the endpoints' jitter.
-    jitter_seed: u64,
+    pub(super) jitter_seed: u64,
     /// Data centres in which operators want no new work.
     evacuated: BTreeSet<DataCentreId>,
     regions: BTreeMap<DataCentreId, RegionId>,
-    services: BTreeMap<ServiceId, ServiceProfile>,
+    pub(super) services: BTreeMap<ServiceId, ServiceProfile>,
     /// Work of each attempt of this node: first that of the runner, then that of its helpers.
-    own_work: HashMap<AttemptId, Vec<WorkItem>>,
+    pub(super) own_work: HashMap<AttemptId, Vec<WorkItem>>,
     peers: BTreeMap<NodeId, PeerView>,
-    /// Number of nodes that share the limits of the fleet, this one included.
-    node_count: usize,
+    /// Nodes that share the limits of the fleet, this one included.
+    pub(super) node_order: NodeOrder,
 }
 
 // Methods that change the state.
@@ -90,7 +70,17 @@
     /// Creates the state of `node`, without endpoints; `regions` holds the region of each data
     /// centre.
     pub fn new(node: &str, regions: BTreeMap<DataCentreId, RegionId>) -> Self {
-        Self { jitter_seed: hash_text(0, node), regions, node_count: 1, ..Self::default() }
+        Self {
+            endpoints: BTreeMap::new(),
+            node: node.into(),
+            jitter_seed: hash_text(0, node),
+            evacuated: BTreeSet::new(),
+            regions,
+            services: BTreeMap::new(),
+            own_work: HashMap::new(),
+            peers: BTreeMap::new(),
+            node_order: NodeOrder::new(node, []),
+        }
     }
 
     /// Replaces the services by those of a new configuration.
@@ -98,9 +88,11 @@
         self.services = services;
     }
 
-    /// Sets the number of nodes that share the limits of the fleet; zero counts as one.
-    pub fn set_node_count(&mut self, node_count: usize) {
-        self.node_count = node_count.max(1);
+    /// Sets the nodes that share the limits of the fleet: this one, those of `announced` and those
+    /// whose snapshots arrive.
+    pub fn set_nodes(&mut self, announced: &[NodeId]) {
+        let others = announced.iter().chain(self.peers.keys());
+        self.node_order = NodeOrder::new(&self.node, others);
     }
 
     /// Adds an endpoint, or updates its registration.
@@ -111,13 +103,7 @@
             Some(state) if state.entry.incarnation == entry.incarnation => state.entry = entry,
             _ => {
                 let id = Arc::clone(&entry.id);
-                let (health, cold_limiter) = (HealthRecord::default(), ColdLimiter::default());
-                let hash = hash_text(self.jitter_seed, &id) >> 32;
-                let jitter = hash as f64 / f64::from(u32::MAX);
-                self.endpoints.insert(
-                    id,
-                    EndpointState { entry, health, jitter, cold_limiter, stated_rate: None },
-                );
+                self.endpoints.insert(id, EndpointState::new(entry, self.jitter_seed));
             },
         }
     }
@@ -162,7 +148,7 @@
         now: MonotonicTime,
     ) {
         if let Some(state) = self.endpoints.get_mut(&plan.endpoint) {
-            state.cold_limiter.record(now);
+            state.record_sent(now);
         }
         let work = |endpoint: &EndpointId, role, memory| WorkItem {
             endpoint: Arc::clone(endpoint),
@@ -213,39 +199,6 @@
         }
     }
 
-    /// Records what an answer states about the request rate that its endpoint accepts.
-    ///
-    /// `sent_at` is the time at which the request was sent. Returns the change of the known limit,
-    /// if there is one. An answer without a limit ends a limit only if its request was sent after
-    /// the limit was stated: answers on different connections may overtake each other.
-    pub fn record_rate_statement(
-        &mut self,
-        endpoint: &str,
-        statement: RateStatement,
-        sent_at: MonotonicTime,
-        now: MonotonicTime,
-    ) -> Option<RateChange> {
-        let state = self.endpoints.get_mut(endpoint)?;
-        let known = state.stated_rate.as_ref();
-        let known_limit = known.and_then(|rate| rate.per_second);
-        let (per_second, stated_at) = match statement {
-            RateStatement::PerSecond(rate) => (Some(rate), now),
-            RateStatement::Unreadable => (Some(known_limit.unwrap_or(UNREADABLE_RATE)), now),
-            RateStatement::Unlimited => {
-                known.filter(|rate| sent_at > rate.stated_at)?;
-                (None, sent_at)
-            },
-        };
-        let is_new = known_limit != per_second;
-        state.stated_rate = Some(StatedRate { per_second, stated_at });
-        is_new.then(|| RateChange {
-            endpoint: Arc::clone(&state.entry.id),
-            per_second,
-            is_unreadable: statement == RateStatement::Unreadable,
-            is_own: true,
-        })
-    }
-
     /// Applies the snapshot of another node; returns whether it is newer than the known one.
     ///
     /// An older snapshot is ignored.
@@ -289,11 +242,6 @@
         self.own_work.get(&attempt)?.first().map(|work| &work.endpoint)
     }
 
-    /// Returns the limit of an endpoint's request rate, in requests per second, if it states one.
-    pub fn stated_limit(&self, endpoint: &str) -> Option<f64> {
-        self.endpoints.get(endpoint)?.stated_rate.as_ref()?.per_second
-    }
-
     /// Returns the profile of a service, or `None` if it is not configured.
     pub fn service(&self, service: &str) -> Option<&ServiceProfile> {
         self.services.get(service)
@@ -314,17 +262,6 @@
         self.evacuated.contains(data_centre)
     }
 
-    /// Returns whether one more request stays within the rate limit of a cold endpoint.
-    ///
-    /// Always true for an endpoint that is not cold, and for a service without such a limit.
-    pub fn is_within_cold_rate(&self, state: &EndpointState, now: MonotonicTime) -> bool {
-        if now >= state.entry.cold_until {
-            return true;
-        }
-        let rate = self.services.get(&state.entry.service).map_or(0.0, |profile| profile.cold_rate);
-        rate <= 0.0 || state.cold_limiter.allows(rate, self.node_count, now)
-    }
-
     /// Returns the work in progress of this node and of all nodes with a recent snapshot.
     pub fn work_items(&self, now: MonotonicTime) -> impl Iterator<Item = &WorkItem> {
         let peers = self.peers.values().filter(move |view| view.received + SNAPSHOT_LIFETIME > now);
@@ -347,7 +284,7 @@
 
     /// Returns the number of nodes that share the limits of the fleet, this one included.
     pub fn node_count(&self) -> usize {
-        self.node_count
+        self.node_order.count()
     }
 
     /// Returns this node's work in progress for its load snapshot.
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -9,6 +9,7 @@
 use super::CrashReport;
 use super::PartAnswerReport;
 use super::PartCrashReport;
+use super::RateReport;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -77,7 +78,7 @@
 }
 
 /// Snapshot of one node's load; a newer snapshot replaces an older one completely.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct LoadSnapshot {
     /// Node that sends the snapshot.
     pub node: NodeId,
@@ -95,6 +96,9 @@
     pub part_crashes: Vec<PartCrashReport>,
     /// Parts that crashes make suspect, and that the node received answers to.
     pub part_answers: Vec<PartAnswerReport>,
+    /// What endpoints stated about their request rates; sent in a section of its own.
+    #[serde(skip)]
+    pub rates: Vec<RateReport>,
 }
 
 fn saturating_u32(value: impl TryInto<u32>) -> u32 {
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -10,14 +10,16 @@
 use super::EndpointPhase;
 use super::EngineModel;
 use super::FleetState;
+use super::RateTurn;
 use super::RequestSize;
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
-use super::fleet_state::EndpointState;
+use super::endpoint_state::EndpointState;
 use super::prompt_split::MAX_ENDPOINTS;
 use super::prompt_split::PlacementCandidate;
 use super::prompt_split::ScoredPlan;
 use super::prompt_split::best_plan;
+use super::rate_wait::wait_for_rate;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::RegionId;
@@ -108,6 +110,15 @@
     pub expected_start: Duration,
 }
 
+/// Position of a request among the waiting ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct QueuePosition {
+    /// Number of older requests that wait at any node and are no larger.
+    pub rank: usize,
+    /// Number of requests of the same service that wait before it at this node.
+    pub ahead: usize,
+}
+
 /// Decision on a request at one point in time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlacementDecision {
@@ -126,12 +137,11 @@
 
 /// Decides at `now` whether and where a request runs.
 ///
-/// `rank` is the number of older requests that wait at any node and are no larger. A long prompt
-/// waits while there are any, until its time to wait ends.
+/// A long prompt waits while older requests that are no larger wait, until its time to wait ends.
 pub fn place(
     fleet: &FleetState,
     query: &PlacementQuery,
-    rank: usize,
+    position: QueuePosition,
     now: MonotonicTime,
 ) -> PlacementDecision {
     let engine = fleet.service(&query.service).and_then(|profile| profile.engine.as_ref());
@@ -146,21 +156,24 @@
             return PlacementDecision::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
         }
     }
+    if let Some(decision) = decide_by_rates(fleet, &eligible, query, position.ahead, now) {
+        return decision;
+    }
     let endpoint_count = eligible.len();
     let mut loads = sum_loads(fleet, now);
     let jitter_scale = jitter_scale(fleet.node_count());
-    let available = eligible
-        .into_iter()
-        .filter(|state| !state.health.is_backing_off(now) && fleet.is_within_cold_rate(state, now));
+    let available = eligible.into_iter().filter(|state| {
+        !state.health.is_backing_off(now) && fleet.rate_turn(state, now).is_open(now)
+    });
     let candidates = available.map(|state| {
         let load = loads.remove(&state.entry.id).unwrap_or_default();
-        candidate_for(state, load, engine, jitter_scale, now)
+        candidate_for(fleet, state, load, jitter_scale, now)
     });
     let plan = match engine {
         Some(engine) => best_plan(engine, candidates.collect(), query, now),
         None => best_plain_plan(candidates.collect()),
     };
-    decide(plan, engine, query, endpoint_count, rank, now)
+    decide(plan, engine, query, endpoint_count, position.rank, now)
 }
 
 /// Returns the value of answering a request with `prompt` tokens on time.
@@ -181,14 +194,33 @@
         && !query.excluded.contains(&entry.id)
 }
 
+/// Decides on a request if the request rates of all endpoints leave no room for it now.
+fn decide_by_rates(
+    fleet: &FleetState,
+    eligible: &[&EndpointState],
+    query: &PlacementQuery,
+    ahead: usize,
+    now: MonotonicTime,
+) -> Option<PlacementDecision> {
+    let turns: Vec<RateTurn> = eligible.iter().map(|state| fleet.rate_turn(state, now)).collect();
+    if turns.iter().any(|turn| turn.is_open(now)) {
+        return None;
+    }
+    let engine = fleet.service(&query.service).and_then(|profile| profile.engine.as_ref());
+    let fleet_rate: f64 = eligible.iter().filter_map(|state| fleet.rate_limit(state, now)).sum();
+    let node_rate = fleet_rate / fleet.node_count() as f64;
+    Some(wait_for_rate(&turns, ahead, node_rate, wait_deadline(query, engine)))
+}
+
 /// Returns the candidate for an endpoint with `load`; without an engine, it has no memory.
 fn candidate_for(
+    fleet: &FleetState,
     state: &EndpointState,
     load: EndpointLoad,
-    engine: Option<&EngineModel>,
     jitter_scale: f64,
     now: MonotonicTime,
 ) -> PlacementCandidate {
+    let engine = fleet.service(&state.entry.service).and_then(|profile| profile.engine.as_ref());
     let memory =
         engine.map_or(0, |engine| (engine.memory as f64 * USABLE_MEMORY_FRACTION) as TokenCount);
     PlacementCandidate {
@@ -197,7 +229,7 @@
         free_memory: memory.saturating_sub(load.memory),
         failure_rate: state.health.failure_rate(now),
         slowdown: state.health.slowdown(now),
-        is_cold: now < state.entry.cold_until,
+        may_help: now >= state.entry.cold_until && fleet.rate_limit(state, now).is_none(),
         backlog: load.backlog(now),
         helper_backlog: load.helper_backlog(now),
         jitter_cost: state.jitter * jitter_scale,
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -58,7 +58,8 @@
     pub(super) failure_rate: f64,
     /// How many times longer than expected the endpoint takes to begin an answer.
     pub(super) slowdown: f64,
-    pub(super) is_cold: bool,
+    /// Whether the endpoint may prefill parts of prompts that others run.
+    pub(super) may_help: bool,
     /// Time until all prefills in progress at the endpoint are done.
     pub(super) backlog: Duration,
     /// Time until its prefills as a helper are done.
@@ -104,7 +105,8 @@
     if candidates.is_empty() {
         return None;
     }
-    let all = candidates.len().min(MAX_ENDPOINTS);
+    let helpers = candidates.iter().filter(|candidate| candidate.may_help).count();
+    let all = helpers.clamp(1, MAX_ENDPOINTS);
     let counts = ENDPOINT_COUNTS.into_iter().filter(|count| *count < all).chain([all]);
     let plans = counts.filter_map(|count| {
         let parts = u32::try_from(count).unwrap_or(u32::MAX);
@@ -153,7 +155,7 @@
     let helpers: Vec<&ScoredCandidate<'_>> = scored_candidates
         .iter()
         .filter(|scored| {
-            !scored.candidate.is_cold && scored.candidate.load.helper_count < scored.candidate.slots
+            scored.candidate.may_help && scored.candidate.load.helper_count < scored.candidate.slots
         })
         .take(count - 1)
         .collect();
--- a/crates/apricotknot-core/tests/fleet_limits.rs
+++ b/crates/apricotknot-core/tests/fleet_limits.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use apricotknot_core::fleet::ColdLimiter;
 use apricotknot_core::fleet::CrashHistory;
 use apricotknot_core::fleet::CrashReport;
+use apricotknot_core::fleet::NodeOrder;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
+use apricotknot_core::fleet::SharedRate;
+use apricotknot_core::types::NodeId;
 
 const POLICY: RetryPolicy =
     RetryPolicy { ratio: 0.2, slack: 104.0, window: Duration::from_secs(10) };
@@ -51,27 +53,95 @@
     assert!(limiter.try_retry(&POLICY, 1, now + POLICY.window * 2));
 }
 
+/// A node that sends to one endpoint as often as its share of the rate allows.
+struct RateNode {
+    interval: Option<Duration>,
+    last_sent: Option<Duration>,
+}
+
+impl RateNode {
+    fn try_send(&mut self, now: Duration) -> bool {
+        let Some(interval) = self.interval else {
+            return false;
+        };
+        let may_send = self.last_sent.is_none_or(|last_sent| last_sent + interval <= now);
+        if may_send {
+            self.last_sent = Some(now);
+        }
+        may_send
+    }
+}
+
+fn node_names(nodes: usize) -> Vec<NodeId> {
+    (0..nodes).map(|node| format!("node-{node}").into()).collect()
+}
+
+/// Returns the nodes with their shares of `rate` at an endpoint.
+fn rate_nodes(rate: &SharedRate, names: &[NodeId], endpoint: u64) -> Vec<RateNode> {
+    let position = |name: &NodeId| NodeOrder::new(name, names).position(endpoint);
+    let intervals = names.iter().map(|name| rate.interval(position(name), 0));
+    intervals.map(|interval| RateNode { interval, last_sent: None }).collect()
+}
+
+// Guards against a floor of one request for each node, whatever the rate is.
 #[test]
-fn requests_to_a_cold_endpoint_stay_within_its_rate() {
+fn requests_of_all_nodes_stay_within_a_shared_rate() {
     arbtest::arbtest(|source| {
-        let nodes = source.int_in_range(1..=8_usize)?;
-        let rate = f64::from(source.int_in_range(8..=40_u32)?);
-        let mut limiters = vec![ColdLimiter::default(); nodes];
+        let names = node_names(source.int_in_range(1..=80_usize)?);
+        let per_second = f64::from(source.int_in_range(1..=400_u32)?) / 10.0;
+        let window = Duration::from_secs(source.int_in_range(1..=4_u64)?);
+        let rate = SharedRate::new(per_second, window);
+        let mut nodes = rate_nodes(&rate, &names, source.arbitrary()?);
         let mut sent: Vec<Duration> = Vec::new();
         let mut now = Duration::from_secs(10);
-        for _ in 0..source.int_in_range(0..=300)? {
+        for _ in 0..source.int_in_range(0..=600)? {
             now += Duration::from_millis(source.int_in_range(0..=40)?);
-            let limiter = &mut limiters[source.choose_index(nodes)?];
-            if limiter.allows(rate, nodes, now) {
-                limiter.record(now);
+            if nodes[source.choose_index(names.len())?].try_send(now) {
                 sent.push(now);
             }
         }
+        let allowed = per_second * rate.window().as_secs_f64() + 1e-6;
         for end in &sent {
-            let second =
-                sent.iter().filter(|at| **at <= *end && **at + Duration::from_secs(1) > *end);
-            assert!(second.count() as f64 <= rate, "more than {rate} requests in one second");
+            let recent = sent.iter().filter(|at| **at <= *end && **at + rate.window() > *end);
+            assert!(recent.count() as f64 <= allowed, "more than {allowed} in {:?}", rate.window());
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn nodes_that_always_have_requests_use_most_of_a_shared_rate() {
+    for (nodes, per_second) in [(1, 2.1), (8, 1.0), (8, 2.1), (8, 26.0), (71, 1.0), (71, 26.0)] {
+        let rate = SharedRate::new(per_second, Duration::from_secs(4));
+        let mut nodes = rate_nodes(&rate, &node_names(nodes), 77);
+        let mut sent = 0;
+        for step in 0..4_000_u64 {
+            let now = Duration::from_millis(step * 10);
+            sent += nodes.iter_mut().filter_map(|node| node.try_send(now).then_some(())).count();
+        }
+        let allowed = per_second * 40.0;
+        assert!(sent as f64 >= allowed * 0.8, "{sent} of {allowed}");
+    }
+}
+
+#[test]
+fn node_that_joins_moves_the_others_by_one_position_at_most() {
+    arbtest::arbtest(|source| {
+        let mut names = node_names(source.int_in_range(2..=80_usize)?);
+        let joined = names.pop();
+        let endpoint = source.arbitrary()?;
+        for name in &names {
+            let before = NodeOrder::new(name, &names).position(endpoint);
+            let after = NodeOrder::new(name, names.iter().chain(&joined)).position(endpoint);
+            assert_eq!(after.count, before.count + 1);
+            assert!(after.index == before.index || after.index == before.index + 1);
         }
+        let mut indices: Vec<usize> = names
+            .iter()
+            .map(|name| NodeOrder::new(name, &names).position(endpoint).index)
+            .collect();
+        indices.sort_unstable();
+        assert!(indices.into_iter().eq(0..names.len()), "each position is taken once");
         Ok(())
     });
 }
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -15,9 +15,11 @@
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::fleet::place;
 use apricotknot_core::routing::ServiceProfile;
+use apricotknot_core::types::NodeId;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -166,9 +168,10 @@
 
 impl FleetSimulation {
     pub(crate) fn new(engines: usize, nodes: usize, snapshot_delay: Duration) -> Self {
+        let names: Vec<NodeId> = (0..nodes).map(|node| format!("node-{node}").into()).collect();
         let fleet_states = (0..nodes).map(|node| {
             let mut fleet_state = fleet_state_of(&format!("node-{node}"), engines);
-            fleet_state.set_node_count(nodes);
+            fleet_state.set_nodes(&names);
             fleet_state
         });
         Self {
@@ -219,7 +222,9 @@
         self.progress(&mut is_changed);
         let waiting = std::mem::take(&mut self.waiting);
         for request in waiting {
-            let decision = place(&self.fleet_states[request.node], &request.query, 0, self.now);
+            let position = QueuePosition::default();
+            let fleet_state = &self.fleet_states[request.node];
+            let decision = place(fleet_state, &request.query, position, self.now);
             match decision {
                 PlacementDecision::Wait => self.waiting.push(request),
                 PlacementDecision::Refuse { .. } => {},
@@ -291,10 +296,7 @@
             incarnation: 1,
             sequence: u64::try_from(self.now.as_micros()).unwrap_or(u64::MAX),
             works: self.fleet_states[node].work_snapshots(self.now),
-            waits: Vec::new(),
-            crashes: Vec::new(),
-            part_crashes: Vec::new(),
-            part_answers: Vec::new(),
+            ..LoadSnapshot::default()
         };
         self.in_transit.push((self.now + self.snapshot_delay, snapshot));
     }
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -107,6 +107,13 @@
         /// Time at which the request was sent.
         sent_at: MonotonicTime,
     },
+    /// Asks whether an attempt that was granted some time ago may still be sent.
+    Confirm {
+        /// Identifies the attempt.
+        attempt: AttemptId,
+        /// Receives the answer.
+        reply: oneshot::Sender<bool>,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Identifies the attempt.
--- a/crates/apricotknot-gateway/src/control/handle.rs
+++ b/crates/apricotknot-gateway/src/control/handle.rs
@@ -38,6 +38,14 @@
         let _ = ended.await;
     }
 
+    /// Returns whether an attempt that was granted some time ago may still be sent.
+    pub async fn confirm(&self, attempt: AttemptId) -> bool {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlCommand::Confirm { attempt, reply });
+        // Without a control thread, the node is about to end and sends what it has admitted.
+        answer.await.unwrap_or(true)
+    }
+
     /// Requests an endpoint; dropping the receiver cancels the request.
     pub fn place(&self, request: PlacementRequest) -> PlacementReceiver {
         let (reply, receiver) = oneshot::channel();
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -97,6 +97,11 @@
         self.nodes.len().max(1)
     }
 
+    /// Returns the names of the nodes among which shared limits are divided.
+    pub fn names(&self) -> Vec<NodeId> {
+        self.nodes.keys().cloned().collect()
+    }
+
     /// Returns whether `own` is the first of the announced nodes, in the order of their names.
     pub fn is_first(&self, own: &str) -> bool {
         let mut announced = self.nodes.iter().filter(|(_, known)| known.removed_at.is_none());
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -273,7 +273,7 @@
             info!(
                 self.logger, "control: {}", event;
                 "endpoint" => endpoint, "per_s" => change.per_second, "is_own" => is_own,
-                "nodes" => self.state.registry().count()
+                "nodes" => self.state.fleet().node_count()
             );
         }
     }
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -14,6 +14,7 @@
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::RateChange;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
@@ -62,6 +63,9 @@
 /// Longest interval between two passes over the waiting requests.
 const MAX_PLACEMENT_INTERVAL: Duration = Duration::from_millis(90);
 
+/// Interval at which the nodes that share limits are counted.
+const NODE_COUNT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Retry delay that callers are given when a retry is not allowed or no endpoint has room.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -86,6 +90,8 @@
     quarantine: RequestQuarantine,
     retry_limiters: BTreeMap<ServiceId, RetryLimiter>,
     wait_queue: WaitQueue,
+    /// Time from which the nodes that share limits are counted again.
+    next_node_count: MonotonicTime,
     /// Time from which the waiting requests may be weighed again.
     next_pass: MonotonicTime,
     /// Number of times that a request was weighed against the fleet.
@@ -121,6 +127,7 @@
             quarantine: RequestQuarantine::default(),
             retry_limiters: BTreeMap::new(),
             wait_queue: WaitQueue::default(),
+            next_node_count: MonotonicTime::ZERO,
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
             rate_changes: Vec::new(),
@@ -144,6 +151,10 @@
                 let change = self.fleet.record_rate_statement(&endpoint, statement, sent_at, now);
                 self.rate_changes.extend(change);
             },
+            ControlCommand::Confirm { attempt, reply } => {
+                // A closed channel means that the call has ended.
+                let _ = reply.send(self.fleet.is_still_permitted(attempt));
+            },
             ControlCommand::AttemptEnded { attempt, end } => self.end_attempt(attempt, end, now),
             ControlCommand::ConnectionBroken { fingerprint, endpoint } => {
                 self.quarantine.record_broken(CrashReport { fingerprint, endpoint }, now);
@@ -232,6 +243,8 @@
             return;
         }
         self.quarantine.apply_reports(&mut snapshot, now);
+        let rates = std::mem::take(&mut snapshot.rates);
+        self.rate_changes.extend(self.fleet.apply_rate_reports(rates, now));
         self.fleet.apply_snapshot(snapshot, now);
     }
 
@@ -240,7 +253,7 @@
     pub fn tick(&mut self, now: MonotonicTime) {
         self.fleet.remove_stale_peers(now);
         self.registry.expire(now);
-        self.fleet.set_node_count(self.registry.count());
+        self.update_nodes(now);
         self.remove_missing(now);
         if now >= self.next_pass {
             self.next_pass = now + pass_interval(self.wait_queue.len());
@@ -270,6 +283,7 @@
             crashes: Vec::new(),
             part_crashes: Vec::new(),
             part_answers: Vec::new(),
+            rates: self.fleet.rate_reports(self.sequence, now),
         };
         self.quarantine.add_reports(&mut snapshot, now);
         snapshot
@@ -291,7 +305,7 @@
             let _ = reply.send(Err(QUARANTINE_REFUSAL));
             return;
         }
-        let nodes = self.registry.count();
+        let nodes = self.fleet.node_count();
         let limiter = self.retry_limiters.entry(Arc::clone(&request.query.service)).or_default();
         if !request.is_retry {
             limiter.record_request(&self.limits.retries, now);
@@ -301,8 +315,8 @@
             return;
         }
         let waiting = WaitingRequest { request, reply };
-        let rank = self.rank(&waiting.request.query, now);
-        if let Some(waiting) = self.try_place(waiting, rank, now) {
+        let position = self.queue_position(&waiting.request.query, now);
+        if let Some(waiting) = self.try_place(waiting, position, now) {
             self.wait_queue.push(waiting);
         }
     }
@@ -313,32 +327,35 @@
                 let _ = request.reply.send(Err(QUARANTINE_REFUSAL));
                 continue;
             }
-            let rank = self.rank(&request.request.query, now);
-            if let Some(request) = self.try_place(request, rank, now) {
+            let position = self.queue_position(&request.request.query, now);
+            if let Some(request) = self.try_place(request, position, now) {
                 self.wait_queue.push(request);
             }
         }
     }
 
-    /// Counts the requests that come before `query`: older ones, at any node, that are no larger.
-    fn rank(&self, query: &PlacementQuery, now: MonotonicTime) -> usize {
+    /// Returns the position of `query` among the requests that wait at any node.
+    fn queue_position(&self, query: &PlacementQuery, now: MonotonicTime) -> QueuePosition {
         let age = now.saturating_sub(query.arrived);
         let peers = self
             .fleet
             .peer_waits(now)
             .filter(|(_, prompt, waited)| *waited > age && *prompt <= query.size.prompt);
-        self.wait_queue.count_before(query) + peers.count()
+        QueuePosition {
+            rank: self.wait_queue.count_before(query) + peers.count(),
+            ahead: self.wait_queue.count_for(&query.service),
+        }
     }
 
     /// Answers a request if an endpoint is found or it is refused; returns it if it has to wait.
     fn try_place(
         &mut self,
         waiting: WaitingRequest,
-        rank: usize,
+        position: QueuePosition,
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
         self.placement_count += 1;
-        match place(&self.fleet, &waiting.request.query, rank, now) {
+        match place(&self.fleet, &waiting.request.query, position, now) {
             PlacementDecision::Wait if waiting.request.may_wait => return Some(waiting),
             PlacementDecision::Wait => {
                 let refusal =
@@ -389,7 +406,16 @@
         }
     }
 
+    /// Counts the nodes that share limits, if the last count is long enough ago.
+    fn update_nodes(&mut self, now: MonotonicTime) {
+        if now >= self.next_node_count {
+            self.next_node_count = now + NODE_COUNT_INTERVAL;
+            self.fleet.set_nodes(&self.registry.names());
+        }
+    }
+
     fn apply_registry_change(&mut self, change: RegistryChange, now: MonotonicTime) {
+        self.next_node_count = now;
         self.quarantine.apply_registry_change(&change, now);
         match change {
             RegistryChange::NodeAnnounced(node, record) => self.registry.set(node, record),
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -6,6 +6,7 @@
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::ServiceId;
 use tokio::sync::oneshot;
 
 use super::EndpointGrant;
@@ -69,6 +70,11 @@
         before.count()
     }
 
+    /// Counts the requests of `service` that wait.
+    pub(super) fn count_for(&self, service: &ServiceId) -> usize {
+        self.requests.iter().filter(|waiting| waiting.request.query.service == *service).count()
+    }
+
     /// Returns the snapshots of waiting requests that are sent to other nodes, up to a limit.
     pub(super) fn snapshots(&self, now: MonotonicTime) -> Vec<WaitSnapshot> {
         let reported = self.requests.iter().take(FleetState::max_wait_snapshots());
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -36,6 +36,9 @@
 /// Longest time to establish a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after a grant from which it is confirmed before the request is sent.
+const CONFIRM_AFTER: Duration = Duration::from_millis(20);
+
 /// Most attempts that one call sends to endpoints, including those that are refused.
 const MAX_SENDS: u32 = 4;
 
@@ -163,6 +166,7 @@
     /// Reserves memory at the helpers and connects to the endpoint.
     async fn open_attempt(&mut self, grant: EndpointGrant) -> Result<OpenAttempt, CallInterrupt> {
         let mut guard = grant.guard;
+        let granted_at = self.now();
         let reserving = reserve(self.context, guard.attempt(), &grant.helpers);
         let (helpers, reservations) = match self.unless_interrupted(reserving, None).await {
             Err(WaitInterrupt::CallerDisconnected) => {
@@ -211,6 +215,11 @@
                 self.excluded.push(grant.endpoint);
                 Err(CallInterrupt::Attempt(AttemptFault::NotRun))
             },
+            Ok(Ok(_)) if !self.is_still_permitted(&guard, granted_at).await => {
+                let cause = "the endpoint has begun to limit its request rate";
+                self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
+                Err(CallInterrupt::Attempt(AttemptFault::NotRun))
+            },
             Ok(Ok(exchange)) => {
                 self.sends += 1;
                 self.endpoint = Some(Arc::clone(&grant.endpoint));
@@ -230,6 +239,14 @@
         }
     }
 
+    /// Returns whether an attempt that is about to be sent may still be.
+    ///
+    /// It may not if its endpoint has begun to limit its request rate since the grant.
+    async fn is_still_permitted(&self, guard: &AttemptGuard, granted_at: MonotonicTime) -> bool {
+        let is_recent = self.now().saturating_sub(granted_at) <= CONFIRM_AFTER;
+        is_recent || self.context.control.confirm(guard.attempt()).await
+    }
+
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallInterrupt> {
         match self.next_step(&mut open, EndpointExchange::read_head).await {
             Err(reason) => Err(self.interrupt_attempt(open.guard, &open.endpoint, reason)),
--- a/crates/apricotknot-gateway/src/peers/datagram_seal.rs
+++ b/crates/apricotknot-gateway/src/peers/datagram_seal.rs
@@ -7,6 +7,8 @@
 use sha2::Sha256;
 
 use super::DatagramError;
+use super::snapshot_codec::decode_snapshot;
+use super::snapshot_codec::encode_snapshot;
 
 /// Length of the signature at the end of a datagram, in bytes.
 const TAG_BYTES: usize = 16;
@@ -29,7 +31,7 @@
     ///
     /// Returns an error if the snapshot cannot be encoded.
     pub fn encode(&self, snapshot: &LoadSnapshot) -> Result<Vec<u8>, DatagramError> {
-        let mut bytes = postcard::to_allocvec(snapshot).map_err(|_| DatagramError::Malformed)?;
+        let mut bytes = encode_snapshot(snapshot)?;
         let mut mac = self.mac.clone();
         mac.update(&bytes);
         bytes.extend_from_slice(&mac.finalize().into_bytes()[..TAG_BYTES]);
@@ -48,6 +50,6 @@
         let mut mac = self.mac.clone();
         mac.update(bytes);
         mac.verify_truncated_left(tag).map_err(|_| DatagramError::InvalidSignature)?;
-        postcard::from_bytes(bytes).map_err(|_| DatagramError::Malformed)
+        decode_snapshot(bytes)
     }
 }
--- a/crates/apricotknot-gateway/src/peers/mod.rs
+++ b/crates/apricotknot-gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 
 mod datagram_error;
 mod datagram_seal;
+mod snapshot_codec;
 
 pub use datagram_error::DatagramError;
 pub use datagram_seal::DatagramSeal;
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -432,14 +432,5 @@
 }
 
 fn peer_snapshot(node: &str, sequence: u64, crashes: Vec<CrashReport>) -> LoadSnapshot {
-    LoadSnapshot {
-        node: node.into(),
-        incarnation: 1,
-        sequence,
-        works: Vec::new(),
-        waits: Vec::new(),
-        crashes,
-        part_crashes: Vec::new(),
-        part_answers: Vec::new(),
-    }
+    LoadSnapshot { node: node.into(), incarnation: 1, sequence, crashes, ..LoadSnapshot::default() }
 }
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -1,11 +1,20 @@
 //! Tests of the signed datagrams between nodes.
 
+use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PartAnswerReport;
 use apricotknot_core::fleet::PartCrashReport;
+use apricotknot_core::fleet::RateReport;
 use apricotknot_core::fleet::WaitSnapshot;
+use apricotknot_core::fleet::WorkSnapshot;
 use apricotknot_gateway::peers::DatagramError;
 use apricotknot_gateway::peers::DatagramSeal;
+use hmac::Hmac;
+use hmac::KeyInit;
+use hmac::Mac;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Sha256;
 
 fn snapshot() -> LoadSnapshot {
     LoadSnapshot {
@@ -23,6 +32,13 @@
             age_ms: 30,
         }],
         part_answers: vec![PartAnswerReport { part: 1, age_ms: 40 }],
+        rates: vec![RateReport {
+            endpoint: "engine".into(),
+            incarnation: 2,
+            id: 5,
+            per_second: Some(2.1),
+            age_ms: 50,
+        }],
     }
 }
 
@@ -53,3 +69,62 @@
         Ok(())
     });
 }
+
+/// Datagram of the version before sections, signed with the secret `secret`.
+const FIRST_DATAGRAM: [u8; 30] = [
+    0x04, 0x6e, 0x6f, 0x64, 0x65, 0x03, 0x09, 0x00, 0x01, 0x05, 0x06, 0x00, 0x00, 0x00, 0xeb, 0x8c,
+    0x1e, 0xdd, 0x84, 0xe0, 0x13, 0xb2, 0x6b, 0x6a, 0xb4, 0xeb, 0x26, 0xb0, 0x2b, 0x41,
+];
+
+/// Length of the signature at the end of a datagram, in bytes.
+const TAG_BYTES: usize = 16;
+
+/// Fields of a snapshot as the version before sections reads them.
+#[derive(Debug, Deserialize, Serialize)]
+struct FirstSnapshot {
+    node: String,
+    incarnation: u64,
+    sequence: u64,
+    works: Vec<WorkSnapshot>,
+    waits: Vec<WaitSnapshot>,
+    crashes: Vec<CrashReport>,
+    part_crashes: Vec<PartCrashReport>,
+    part_answers: Vec<PartAnswerReport>,
+}
+
+#[allow(clippy::expect_used, reason = "test helpers may panic")]
+fn sign(bytes: &[u8]) -> Vec<u8> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(b"secret").expect("a key");
+    mac.update(bytes);
+    [bytes, &mac.finalize().into_bytes()[..TAG_BYTES]].concat()
+}
+
+#[test]
+fn snapshot_of_the_version_before_sections_is_read() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let snapshot = seal.decode(&FIRST_DATAGRAM).expect("a snapshot");
+    assert_eq!((&*snapshot.node, snapshot.incarnation, snapshot.sequence), ("node", 3, 9));
+    assert_eq!(snapshot.waits, [WaitSnapshot { prompt: 5, age_ms: 6 }]);
+    assert!(snapshot.rates.is_empty());
+}
+
+#[test]
+fn version_before_sections_reads_a_snapshot_with_sections() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let datagram = seal.encode(&snapshot()).expect("encoded datagram");
+    let bytes = &datagram[..datagram.len() - TAG_BYTES];
+    let first: FirstSnapshot = postcard::from_bytes(bytes).expect("the first fields");
+    assert_eq!((&*first.node, first.incarnation, first.sequence), ("node", 3, 9));
+    assert_eq!(first.part_answers, snapshot().part_answers);
+}
+
+#[test]
+fn section_that_is_not_known_is_skipped() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let datagram = seal.encode(&snapshot()).expect("encoded datagram");
+    let mut bytes = datagram[..datagram.len() - TAG_BYTES].to_vec();
+    bytes.extend([200, 3, 0, 0, 0, 1, 2, 3]);
+    assert_eq!(seal.decode(&sign(&bytes)), Ok(snapshot()));
+    bytes.extend([200, 9, 0, 0, 0, 1]);
+    assert_eq!(seal.decode(&sign(&bytes)), Err(DatagramError::Malformed));
+}
--- a/crates/apricotknot-gateway/tests/support/rate_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/rate_fleet.rs
@@ -93,6 +93,27 @@
     endpoints: usize,
 }
 
+impl PlayedNode {
+    /// Requests an endpoint; returns the grant if there is one at once.
+    pub(crate) fn place_one(&mut self, id: u64, now: Duration) -> Option<EndpointGrant> {
+        self.request(id, now).try_recv().ok()?.ok()
+    }
+
+    /// Returns whether the node confirms an attempt that it has granted.
+    pub(crate) fn confirms(&mut self, attempt: u128, now: Duration) -> bool {
+        let (reply, mut answer) = oneshot::channel();
+        self.state.handle_command(ControlCommand::Confirm { attempt, reply }, now);
+        answer.try_recv().expect("an answer")
+    }
+
+    fn request(&mut self, id: u64, now: Duration) -> PlacementReceiver {
+        let request = Box::new(placement_request(id, now));
+        let (reply, receiver) = oneshot::channel();
+        self.state.handle_command(ControlCommand::Place { request, reply }, now);
+        receiver
+    }
+}
+
 impl RateFleet {
     /// Creates `nodes` nodes that know one another, and `endpoints` endpoints.
     pub(crate) fn new(nodes: usize, endpoints: usize, rate: f64) -> Self {
@@ -165,10 +186,7 @@
             self.next_id += 1;
             let pick = usize::try_from(self.next_id * 7_919 % 104_729).unwrap_or(0);
             let node = callers[pick % callers.len()];
-            let request = placement_request(self.next_id, self.now);
-            let (reply, receiver) = oneshot::channel();
-            let command = ControlCommand::Place { request: Box::new(request), reply };
-            self.nodes[node].state.handle_command(command, self.now);
+            let receiver = self.nodes[node].request(self.next_id, self.now);
             self.nodes[node].waiting.push(receiver);
             self.collect(node);
         }
@@ -219,7 +237,7 @@
     fn exchange(&mut self) {
         let steps = SNAPSHOT_INTERVAL.as_millis() / STEP.as_millis();
         let step = (self.now - START).as_millis() / STEP.as_millis();
-        if step % steps != 0 {
+        if !step.is_multiple_of(steps) {
             return;
         }
         let now = self.now;
--- a/crates/apricotknot/tests/rate_limits.rs
+++ b/crates/apricotknot/tests/rate_limits.rs
@@ -6,6 +6,7 @@
 #[path = "support/gateway_fleet.rs"]
 mod gateway_fleet;
 
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -93,3 +94,25 @@
     });
     assert_eq!(refused.into_inner(), 0, "the other engine serves what the limit leaves");
 }
+
+#[test]
+fn request_that_the_limits_leave_no_room_for_is_refused_with_a_time_to_come_back() {
+    let fleet = Fleet::start("limits", 2);
+    for engine in &fleet.engines {
+        engine.set_rate_limit(Some("0.5"));
+    }
+    let refusals = Mutex::new(Vec::new());
+    let on_answer = |answer: Answer| {
+        if answer.status != 200 {
+            refusals.lock().expect("refusals").push(answer);
+        }
+    };
+    under_load(&fleet, on_answer, || {
+        wait_until("requests are refused", || refusals.lock().expect("refusals").len() > 20);
+    });
+    for refusal in refusals.into_inner().expect("refusals") {
+        assert_eq!(refusal.status, 503, "{refusal:?}");
+        assert!(refusal.head.contains("retry-after: "), "{refusal:?}");
+        assert!(refusal.body.contains("\"executed\":\"no\""), "{refusal:?}");
+    }
+}
