gateway: reads the era of the key-value service, and logs that it came back from a copy

Every answer's era is read; the feed logs when it changes and marks a full reading after it. No decision uses either yet. Leases and writes carry the era that their numbers belong to. The stand-in can copy its contents and come back from the copy.

--- a/crates/apricotknot-gateway/src/control/announcer.rs
+++ b/crates/apricotknot-gateway/src/control/announcer.rs
@@ -13,9 +13,9 @@
 use super::registry::node_key;
 use super::registry::secret_key;
 use crate::store::ExpectedRevision;
-use crate::store::LeaseId;
 use crate::store::MetadataStore;
 use crate::store::StoreError;
+use crate::store::StoreLease;
 use crate::store::SwapOutcome;
 use crate::store::SwapRequest;
 
@@ -58,13 +58,13 @@
         loop {
             match self.announce().await {
                 Ok(lease) => {
-                    info!(self.logger, "registry: node announced"; "lease" => lease);
+                    info!(self.logger, "registry: node announced"; "lease" => lease.id, "era" => lease.era);
                     if self.keep_lease_alive(lease).await {
                         return self.withdraw(lease).await;
                     }
                     warn!(
                         self.logger, "registry: lease expired; announcing the node again";
-                        "lease" => lease
+                        "lease" => lease.id
                     );
                 },
                 Err(error) => {
@@ -96,10 +96,10 @@
         }
     }
 
-    async fn announce(&self) -> Result<LeaseId, StoreError> {
+    async fn announce(&self) -> Result<StoreLease, StoreError> {
         let lease = self.store.grant_lease(LEASE_TTL).await?;
         let value = serde_json::to_vec(&self.record).unwrap_or_default();
-        let mut request = SwapRequest::create(node_key(&self.node), value).lease(lease);
+        let mut request = SwapRequest::create(node_key(&self.node), value).lease_in_era(lease);
         // The record of an earlier incarnation may still exist; it is replaced.
         while let SwapOutcome::Conflict { current, .. } = self.store.swap(&request).await? {
             request.expected = match current {
@@ -112,7 +112,7 @@
 
     /// Renews the lease until it has expired (returns `false`) or the node is to be withdrawn
     /// (returns `true`).
-    async fn keep_lease_alive(&self, lease: LeaseId) -> bool {
+    async fn keep_lease_alive(&self, lease: StoreLease) -> bool {
         loop {
             tokio::select! {
                 () = self.stop_signal.notified() => return true,
@@ -132,9 +132,9 @@
     }
 
     /// Revokes the lease, so that other nodes need not wait until it expires.
-    async fn withdraw(&self, lease: LeaseId) {
+    async fn withdraw(&self, lease: StoreLease) {
         match self.store.revoke_lease(lease).await {
-            Ok(()) => info!(self.logger, "registry: node withdrawn"; "lease" => lease),
+            Ok(()) => info!(self.logger, "registry: node withdrawn"; "lease" => lease.id),
             Err(error) => warn!(
                 self.logger, "registry: cannot withdraw the node; its lease will expire";
                 "error" => %error
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -15,6 +15,7 @@
 use crate::clock::BootClock;
 use crate::protocol::RecordTranslator;
 use crate::protocol::TranslationError;
+use crate::store::EraNumber;
 use crate::store::MetadataStore;
 use crate::store::StoreEntry;
 use crate::store::StoreError;
@@ -79,6 +80,13 @@
         /// How the changes arrived.
         delivery: BatchDelivery,
     },
+    /// The service has come back from an older copy.
+    Restored {
+        /// Era that was known before.
+        held: EraNumber,
+        /// Era of the service.
+        found: EraNumber,
+    },
     /// A record could not be read and was skipped.
     Skipped(TranslationError),
     /// The changes cannot be read one by one; all keys are read instead.
@@ -105,6 +113,8 @@
     /// Number of nodes that watch the service; the control thread updates it.
     node_count: Rc<Cell<usize>>,
     failures: u32,
+    /// Era of the last answer, if there was one.
+    era: Option<EraNumber>,
 }
 
 impl<S: MetadataStore, T: RecordTranslator> StateFeed<S, T> {
@@ -118,7 +128,7 @@
         events: mpsc::Sender<FeedEvent>,
         node_count: Rc<Cell<usize>>,
     ) -> Self {
-        Self { store, translator, clock, events, node_count, failures: 0 }
+        Self { store, translator, clock, events, node_count, failures: 0, era: None }
     }
 
     /// Reads and watches the service until the receiver of the events is closed.
@@ -140,7 +150,8 @@
             },
             Ok(range) => {
                 self.failures = 0;
-                let mut update = StoreUpdate::default();
+                let is_restored = self.observe_era(range.era).await;
+                let mut update = StoreUpdate { is_restored, ..StoreUpdate::default() };
                 for entry in &range.entries {
                     self.read_entry(entry, &mut update).await;
                 }
@@ -158,6 +169,7 @@
             match self.store.changes(ALL_KEYS_PREFIX, revision, WATCH_LIMITS).await {
                 Ok(batch) => {
                     self.failures = 0;
+                    _ = self.observe_era(batch.era).await;
                     revision = revision.max(batch.revision);
                     let elapsed = self.clock.now().saturating_sub(sent_at);
                     let as_of = sent_at + confirmed_duration(batch.events.is_empty(), elapsed);
@@ -185,6 +197,18 @@
         }
     }
 
+    /// Records the era of an answer; returns whether the service has come back from a copy since
+    /// the one before.
+    async fn observe_era(&mut self, found: EraNumber) -> bool {
+        match self.era.replace(found).filter(|held| *held != found) {
+            Some(held) => {
+                self.send(FeedEvent::Restored { held, found }).await;
+                true
+            },
+            None => false,
+        }
+    }
+
     async fn send_changes(&mut self, batch: &WatchBatch, as_of: MonotonicTime) {
         let mut update = StoreUpdate::default();
         for event in &batch.events {
--- a/crates/apricotknot-gateway/src/control/quarantine_recorder.rs
+++ b/crates/apricotknot-gateway/src/control/quarantine_recorder.rs
@@ -65,6 +65,9 @@
     async fn write(&self, part: PromptPartId) -> Result<(), StoreError> {
         let lease = self.store.grant_lease(RECORD_TTL).await?;
         // A conflict means that another node has recorded the part.
-        self.store.swap(&SwapRequest::create(part_key(part), *b"{}").lease(lease)).await.map(drop)
+        self.store
+            .swap(&SwapRequest::create(part_key(part), *b"{}").lease_in_era(lease))
+            .await
+            .map(drop)
     }
 }
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -336,6 +336,15 @@
                 warn!(self.logger, "control: skipping an unreadable record"; "error" => %error);
                 return;
             },
+            FeedEvent::Restored { held, found } => {
+                warn!(
+                    self.logger,
+                    "control: key-value service came back from an older copy; keeping newer state";
+                    "held_era" => held, "era" => found,
+                    "knowledge_ms" => millis(self.shared.configuration_age(now))
+                );
+                return;
+            },
             FeedEvent::Reloading(error) => {
                 info!(self.logger, "control: reading all keys again"; "error" => %error);
                 return;
--- a/crates/apricotknot-gateway/src/control/store_update.rs
+++ b/crates/apricotknot-gateway/src/control/store_update.rs
@@ -10,4 +10,6 @@
     pub record_changes: Vec<RecordChange>,
     /// Changes of the gateway's own records.
     pub registry_changes: Vec<RegistryChange>,
+    /// Whether the service has come back from an older copy since the update before.
+    pub is_restored: bool,
 }
--- a/crates/apricotknot-gateway/src/store/entry.rs
+++ b/crates/apricotknot-gateway/src/store/entry.rs
@@ -5,9 +5,24 @@
 
 use apricotknot_core::types::RevisionNumber;
 
+/// Counts how often the key-value service has come back from an older copy.
+///
+/// Each time it loses what it acknowledged since the copy. Revisions and ids of leases are given out
+/// again, so they identify something only within one era.
+pub type EraNumber = u64;
+
 /// Identifies a lease of the key-value service.
 pub type LeaseId = i64;
 
+/// Holds a lease and the era in which it was granted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreLease {
+    /// Era in which the lease was granted.
+    pub era: EraNumber,
+    /// Id of the lease, which another lease may have in another era.
+    pub id: LeaseId,
+}
+
 /// Holds one key with its value and the revision that last wrote it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreEntry {
@@ -26,6 +41,8 @@
     pub entries: Vec<StoreEntry>,
     /// Revision of the store at which the entries were read.
     pub revision: RevisionNumber,
+    /// Era of the store.
+    pub era: EraNumber,
 }
 
 /// States the revision that a key must have for a swap to take effect.
@@ -48,6 +65,8 @@
     pub value: Option<Vec<u8>>,
     /// Lease that the key is bound to, if any.
     pub lease: Option<LeaseId>,
+    /// Era to which the expected revision and the lease belong, if the store has eras.
+    pub era: Option<EraNumber>,
 }
 
 impl SwapRequest {
@@ -58,6 +77,7 @@
             expected: ExpectedRevision::Absent,
             value: Some(value.into()),
             lease: None,
+            era: None,
         }
     }
 
@@ -72,12 +92,19 @@
             expected: ExpectedRevision::At(revision),
             value: Some(value.into()),
             lease: None,
+            era: None,
         }
     }
 
     /// Creates a request that deletes a key if its last write was at `revision`.
     pub fn delete(key: impl Into<Arc<str>>, revision: RevisionNumber) -> Self {
-        Self { key: key.into(), expected: ExpectedRevision::At(revision), value: None, lease: None }
+        Self {
+            key: key.into(),
+            expected: ExpectedRevision::At(revision),
+            value: None,
+            lease: None,
+            era: None,
+        }
     }
 
     /// Binds the key to a lease; the service removes the key when the lease expires.
@@ -85,6 +112,13 @@
         self.lease = lease.into();
         self
     }
+
+    /// Binds the key to a lease of one era, to which the expected revision belongs too.
+    pub fn lease_in_era(mut self, lease: StoreLease) -> Self {
+        self.lease = Some(lease.id);
+        self.era = Some(lease.era);
+        self
+    }
 }
 
 /// Reports the result of a compare-and-swap.
@@ -142,6 +176,8 @@
 pub struct WatchBatch {
     /// Revision up to which all changes have been reported.
     pub revision: RevisionNumber,
+    /// Era of the store.
+    pub era: EraNumber,
     /// Changes, oldest first; empty if there were none.
     pub events: Vec<WatchEvent>,
     /// Time from the head of the answer to its last byte.
--- a/crates/apricotknot-gateway/src/store/metadata_store.rs
+++ b/crates/apricotknot-gateway/src/store/metadata_store.rs
@@ -5,8 +5,8 @@
 use apricotknot_core::types::RevisionNumber;
 
 use super::KeyRange;
-use super::LeaseId;
 use super::StoreError;
+use super::StoreLease;
 use super::SwapOutcome;
 use super::SwapRequest;
 use super::WatchBatch;
@@ -30,21 +30,21 @@
     /// # Errors
     ///
     /// Returns why no lease is known to have been granted.
-    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
+    async fn grant_lease(&self, ttl: Duration) -> Result<StoreLease, StoreError>;
 
     /// Renews a lease; returns `false` if it has already expired.
     ///
     /// # Errors
     ///
     /// Returns why the lease is not known to have been renewed.
-    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError>;
+    async fn renew_lease(&self, lease: StoreLease) -> Result<bool, StoreError>;
 
     /// Revokes a lease; the service removes the keys that are bound to it.
     ///
     /// # Errors
     ///
     /// Returns why the lease is not known to have been revoked.
-    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
+    async fn revoke_lease(&self, lease: StoreLease) -> Result<(), StoreError>;
 
     /// Reads all keys that start with `prefix`, page by page if there are many.
     ///
--- a/crates/apricotknot-gateway/src/store/mod.rs
+++ b/crates/apricotknot-gateway/src/store/mod.rs
@@ -4,10 +4,12 @@
 mod error;
 mod metadata_store;
 
+pub use entry::EraNumber;
 pub use entry::ExpectedRevision;
 pub use entry::KeyRange;
 pub use entry::LeaseId;
 pub use entry::StoreEntry;
+pub use entry::StoreLease;
 pub use entry::SwapOutcome;
 pub use entry::SwapRequest;
 pub use entry::WatchBatch;
--- a/crates/apricotknot-gateway/tests/state_feed.rs
+++ b/crates/apricotknot-gateway/tests/state_feed.rs
@@ -17,10 +17,10 @@
 use apricotknot_gateway::protocol::RecordTranslator;
 use apricotknot_gateway::protocol::TranslationError;
 use apricotknot_gateway::store::KeyRange;
-use apricotknot_gateway::store::LeaseId;
 use apricotknot_gateway::store::MetadataStore;
 use apricotknot_gateway::store::StoreEntry;
 use apricotknot_gateway::store::StoreError;
+use apricotknot_gateway::store::StoreLease;
 use apricotknot_gateway::store::SwapOutcome;
 use apricotknot_gateway::store::SwapRequest;
 use apricotknot_gateway::store::WatchBatch;
@@ -69,15 +69,15 @@
         panic!("the feed only reads")
     }
 
-    async fn grant_lease(&self, _: Duration) -> Result<LeaseId, StoreError> {
+    async fn grant_lease(&self, _: Duration) -> Result<StoreLease, StoreError> {
         panic!("the feed only reads")
     }
 
-    async fn renew_lease(&self, _: LeaseId) -> Result<bool, StoreError> {
+    async fn renew_lease(&self, _: StoreLease) -> Result<bool, StoreError> {
         panic!("the feed only reads")
     }
 
-    async fn revoke_lease(&self, _: LeaseId) -> Result<(), StoreError> {
+    async fn revoke_lease(&self, _: StoreLease) -> Result<(), StoreError> {
         panic!("the feed only reads")
     }
 
@@ -85,7 +85,7 @@
         let revision = self.written.get();
         let entry = Self::entry(revision);
         sleep(TRANSFER_TIME).await;
-        Ok(KeyRange { entries: vec![entry], revision })
+        Ok(KeyRange { entries: vec![entry], revision, era: 1 })
     }
 
     async fn changes(
@@ -107,7 +107,7 @@
         if transfer > limits.transfer {
             return Err(StoreError::Backlog { limit: limits.transfer });
         }
-        Ok(WatchBatch { revision, events, transfer })
+        Ok(WatchBatch { revision, era: 1, events, transfer })
     }
 }
 
--- a/crates/apricotknot-gateway/tests/support/rate_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/rate_fleet.rs
@@ -289,6 +289,7 @@
     let update = StoreUpdate {
         record_changes: records.chain([configuration]).collect(),
         registry_changes: registry_changes.collect(),
+        ..StoreUpdate::default()
     };
     state.apply_snapshot(update, START);
     state.tick(START);
--- a/crates/apricotknot-standin/src/users_platform/metadata.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -31,6 +31,10 @@
 /// Maximum number of items in one answer; small, so that tests read several pages.
 const MAX_PAGE_ITEMS: usize = 3;
 
+/// Contents of the service at one moment.
+#[derive(Clone, Debug)]
+pub struct MetadataCopy(MetadataState);
+
 /// Runs a stand-in key-value service until it is dropped.
 #[derive(Debug)]
 pub struct MetadataServer {
@@ -77,6 +81,17 @@
         self.lock().compact();
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> MetadataCopy {
+        MetadataCopy(self.lock().clone())
+    }
+
+    /// Replaces the contents by those of an older copy: what was written since is lost, revisions
+    /// are given out again, and a new era begins.
+    pub fn restore(&self, copy: MetadataCopy) {
+        self.lock().restore(copy.0);
+    }
+
     /// Makes the service answer all calls with 503 (`true`), or serve them again (`false`).
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::SeqCst);
@@ -109,9 +124,19 @@
             return HttpReply::json(503, &json!({}));
         }
         self.lock().expire_leases();
+        let reply = self.answer(&call).await;
+        let era = self.lock().era;
+        reply.header("store-era", &era.to_string())
+    }
+
+    fn crash(self: Rc<Self>) {}
+}
+
+impl MetadataHandler {
+    async fn answer(&self, call: &HttpCall) -> HttpReply {
         match (call.method.as_str(), call.path.as_str()) {
-            ("GET", "/kv-range") => self.range(&call),
-            ("GET", "/kv-watch") => self.watch(&call).await,
+            ("GET", "/kv-range") => self.range(call),
+            ("GET", "/kv-watch") => self.watch(call).await,
             ("POST", "/kv-txn") => self.transact(&call.json()),
             ("POST", "/kv-lease") => self.grant_lease(&call.json()),
             ("POST", path) => match path.strip_prefix("/kv-keep/").map(str::parse) {
@@ -130,10 +155,6 @@
         }
     }
 
-    fn crash(self: Rc<Self>) {}
-}
-
-impl MetadataHandler {
     fn lock(&self) -> MutexGuard<'_, MetadataState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -167,7 +188,7 @@
             let (events, revision) = {
                 let mut state = self.lock();
                 state.expire_leases();
-                if after < state.compacted_revision {
+                if after < state.compacted_revision || after > state.revision {
                     return HttpReply::json(410, &json!({}));
                 }
                 let new = state.history.iter();
--- a/crates/apricotknot-standin/src/users_platform/metadata_state.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -25,13 +25,15 @@
 }
 
 /// Holds the contents of the service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct MetadataState {
     pub(super) items: BTreeMap<String, StoredItem>,
     pub(super) history: Vec<StoredChange>,
     /// Changes up to this revision have been removed from the history.
     pub(super) compacted_revision: u64,
     pub(super) revision: u64,
+    /// Number of times that the service has come back from a copy, plus 1.
+    pub(super) era: u64,
     leases: BTreeMap<i64, (Duration, Instant)>,
     next_lease: i64,
 }
@@ -43,6 +45,7 @@
             history: Vec::new(),
             compacted_revision: 0,
             revision: 1,
+            era: 1,
             leases: BTreeMap::new(),
             next_lease: 1,
         }
@@ -72,6 +75,11 @@
         self.compacted_revision = self.revision;
     }
 
+    /// Replaces the contents by those of an older copy; what was written since is lost.
+    pub(super) fn restore(&mut self, copy: Self) {
+        *self = Self { era: self.era + 1, ..copy };
+    }
+
     /// Grants a lease and returns its id.
     pub(super) fn grant_lease(&mut self, ttl: Duration) -> i64 {
         let lease = self.next_lease;
--- a/crates/apricotknot-standin/src/users_platform/mod.rs
+++ b/crates/apricotknot-standin/src/users_platform/mod.rs
@@ -7,4 +7,5 @@
 pub use endpoint::EndpointFault;
 pub use endpoint::EndpointServer;
 pub use endpoint::ExecutionRecord;
+pub use metadata::MetadataCopy;
 pub use metadata::MetadataServer;
--- a/crates/apricotknot/src/plain/ledger_store.rs
+++ b/crates/apricotknot/src/plain/ledger_store.rs
@@ -95,7 +95,7 @@
             revision => ExpectedRevision::At(revision),
         };
         let key = shard_key(shard).into();
-        let request = SwapRequest { key, expected, value: Some(value), lease: None };
+        let request = SwapRequest { key, expected, value: Some(value), lease: None, era: None };
         Ok(match self.store.swap(&request).await? {
             SwapOutcome::Written { revision } => ShardWriteOutcome::Written { revision },
             SwapOutcome::Conflict { current, .. } => ShardWriteOutcome::Conflict(current.into()),
--- a/crates/apricotknot/tests/support/fake_store.rs
+++ b/crates/apricotknot/tests/support/fake_store.rs
@@ -194,6 +194,7 @@
         let entries = self.entries.borrow();
         let entries = entries.values().filter(|entry| entry.key.starts_with(prefix));
         Ok(KeyRange {
+            era: 0,
             entries: entries.cloned().collect(),
             revision: self.log.borrow().len() as u64,
         })
