--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -12,6 +12,7 @@
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::EndpointEntry;
+use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::EngineModel;
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PlacementQuery;
@@ -284,6 +285,83 @@
     granted(&mut node.request_placement(1_000, NOW));
 }
 
+/// Returns the content of a store that has come back from a copy.
+fn restored_update(record_changes: Vec<RecordChange>) -> StoreUpdate {
+    StoreUpdate { is_restored: true, ..update_of(record_changes) }
+}
+
+#[test]
+fn restored_store_does_not_end_an_evacuation() {
+    let mut node = TestNode::with_engines(1);
+    let evacuated = RecordChange::DataCentreEvacuated("north".into());
+    node.state.apply_changes(update_of(vec![evacuated.clone()]), NOW);
+    let content = || vec![RecordChange::EndpointAnnounced(entry(0))];
+    node.state.apply_snapshot(restored_update(content()), NOW);
+    assert!(node.state.fleet().is_evacuated("north"), "operators have not ended it");
+    node.state.apply_snapshot(update_of(content()), NOW + Duration::from_secs(1));
+    assert!(node.state.fleet().is_evacuated("north"), "nor has a later reading");
+    let removed = RecordChange::DataCentreRestored("north".into());
+    node.state.apply_changes(update_of(vec![removed]), NOW + Duration::from_secs(2));
+    assert!(!node.state.fleet().is_evacuated("north"));
+}
+
+#[test]
+fn evacuation_that_is_never_written_again_ends_with_the_hold() {
+    let mut node = TestNode::with_engines(1);
+    let evacuated = RecordChange::DataCentreEvacuated("north".into());
+    node.state.apply_changes(update_of(vec![evacuated.clone()]), NOW);
+    let content = vec![RecordChange::EndpointAnnounced(entry(0))];
+    node.state.apply_snapshot(restored_update(content.clone()), NOW);
+    node.process_commands(NOW + Duration::from_secs(29));
+    assert!(node.state.fleet().is_evacuated("north"));
+    node.process_commands(NOW + Duration::from_secs(31));
+    assert!(!node.state.fleet().is_evacuated("north"));
+    node.state.apply_changes(update_of(vec![evacuated.clone()]), NOW);
+    node.state.apply_snapshot(restored_update(content), NOW);
+    node.state.apply_changes(update_of(vec![evacuated]), NOW + Duration::from_secs(3));
+    node.process_commands(NOW + Duration::from_secs(31));
+    assert!(node.state.fleet().is_evacuated("north"), "operators have written it again");
+}
+
+#[test]
+fn restored_store_does_not_bring_back_an_endpoint_that_leaves() {
+    let mut node = TestNode::with_engines(2);
+    let leaving = EndpointEntry { phase: EndpointPhase::Leaving, ..entry(0) };
+    node.state.apply_changes(update_of(vec![RecordChange::EndpointAnnounced(leaving)]), NOW);
+    let content = [entry(0), entry(1)].map(RecordChange::EndpointAnnounced);
+    node.state.apply_snapshot(restored_update(content.to_vec()), NOW);
+    let phase = |node: &TestNode| node.state.fleet().endpoint("engine-0").map(|it| it.entry.phase);
+    assert_eq!(phase(&node), Some(EndpointPhase::Leaving));
+    let started = EndpointEntry { incarnation: 2, ..entry(0) };
+    node.state.apply_changes(update_of(vec![RecordChange::EndpointAnnounced(started)]), NOW);
+    assert_eq!(phase(&node), Some(EndpointPhase::Ready), "it has started again");
+}
+
+#[test]
+fn restored_store_does_not_bring_back_an_endpoint_that_is_gone() {
+    let mut node = TestNode::with_engines(2);
+    let removed = RecordChange::EndpointRemoved("engine-0".into());
+    node.state.apply_changes(update_of(vec![removed]), NOW);
+    let content = [entry(0), entry(1)].map(RecordChange::EndpointAnnounced);
+    node.state.apply_snapshot(restored_update(content.to_vec()), NOW + Duration::from_secs(2));
+    assert!(node.state.fleet().endpoint("engine-0").is_none());
+    let later = NOW + Duration::from_secs(3);
+    let announced = RecordChange::EndpointAnnounced(entry(0));
+    node.state.apply_changes(update_of(vec![announced]), later);
+    assert!(node.state.fleet().endpoint("engine-0").is_some(), "it has announced itself again");
+}
+
+#[test]
+fn endpoints_can_reannounce_to_a_restored_store_that_was_never_unreachable() {
+    let mut node = TestNode::with_engines(2);
+    let content = vec![RecordChange::EndpointAnnounced(entry(0))];
+    node.state.apply_snapshot(restored_update(content), NOW);
+    node.process_commands(NOW + Duration::from_secs(1));
+    assert_eq!(node.state.fleet().endpoints().count(), 2, "within the grace time");
+    node.process_commands(NOW + Duration::from_secs(3));
+    assert_eq!(node.state.fleet().endpoints().count(), 1);
+}
+
 #[test]
 fn crashes_reported_by_peers_quarantine_a_request() {
     let mut node = TestNode::with_engines(1);
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -247,3 +247,15 @@
     node.state.apply_changes(update, START);
     assert!(node.place(&bad, START).is_some());
 }
+
+#[test]
+fn restored_store_releases_no_quarantined_part() {
+    let mut node = TestNode::new("own");
+    let recorded = vec![RegistryChange::PartQuarantined(BAD)];
+    let update = StoreUpdate { registry_changes: recorded, ..StoreUpdate::default() };
+    node.state.apply_changes(update, START);
+    let restored = StoreUpdate { is_restored: true, ..StoreUpdate::default() };
+    node.state.apply_snapshot(restored, START);
+    let bad = TestRequest::new(BAD_INTERVAL, 0, START);
+    assert!(node.place(&bad, START).is_none());
+}
--- a/crates/apricotknot-gateway/tests/state_feed.rs
+++ b/crates/apricotknot-gateway/tests/state_feed.rs
@@ -1,4 +1,5 @@
-//! Tests of the feed that reads the key-value service, against a store behind a narrow link.
+//! Tests of the feed that reads the key-value service, against stores behind a narrow link and one
+//! that comes back from an older copy.
 
 #![allow(clippy::expect_used, reason = "test helpers may panic")]
 
@@ -30,6 +31,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 /// Longest time from the write of a version until it is in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -172,3 +174,88 @@
     let waited = LocalSet::new().block_on(&runtime, apply_time(NarrowStore::default()));
     assert!(waited <= APPLY_LIMIT, "in force after {waited:?}");
 }
+
+/// Store that comes back from a copy, with other content at the revisions that are known.
+#[derive(Clone, Default)]
+struct RestoredStore {
+    is_restored: Rc<Cell<bool>>,
+}
+
+impl RestoredStore {
+    /// Returns the revision of the last change and the newest version, which the change before wrote.
+    fn content(&self) -> (u64, u64) {
+        if self.is_restored.get() { (12, 8) } else { (10, 7) }
+    }
+
+    fn era(&self) -> u64 {
+        u64::from(self.is_restored.get())
+    }
+}
+
+impl MetadataStore for RestoredStore {
+    async fn swap(&self, _: &SwapRequest) -> Result<SwapOutcome, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn grant_lease(&self, _: Duration) -> Result<StoreLease, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn renew_lease(&self, _: StoreLease) -> Result<bool, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn revoke_lease(&self, _: StoreLease) -> Result<(), StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn range(&self, _: &str) -> Result<KeyRange, StoreError> {
+        let (revision, version) = self.content();
+        let entries = vec![NarrowStore::entry(version)];
+        Ok(KeyRange { entries, revision, era: self.era() })
+    }
+
+    async fn changes(
+        &self,
+        _: &str,
+        after: RevisionNumber,
+        limits: WatchLimits,
+    ) -> Result<WatchBatch, StoreError> {
+        sleep(limits.wait).await;
+        // The version was written below the revision that the node knows.
+        let revision = after.max(self.content().0);
+        Ok(WatchBatch { revision, era: self.era(), ..WatchBatch::default() })
+    }
+}
+
+/// Returns whether the feed reports the version that is in the restored store.
+async fn reports_restored_version() -> bool {
+    let store = RestoredStore::default();
+    let (events, mut received) = mpsc::channel(64);
+    let node_count = Rc::new(Cell::new(1));
+    let feed = StateFeed::new(store.clone(), VersionTranslator, BootClock, events, node_count);
+    tokio::task::spawn_local(feed.run());
+    let end = Instant::now() + Duration::from_secs(20);
+    while let Ok(Some(event)) = timeout_at(end, received.recv()).await {
+        let (FeedEvent::Snapshot { update, .. } | FeedEvent::Changes { update, .. }) = event else {
+            continue;
+        };
+        match newest_version(&update) {
+            Some(7) => store.is_restored.set(true),
+            Some(8) => return update.is_restored,
+            _ => {},
+        }
+    }
+    false
+}
+
+// Guards against a watch that goes on over the content of another era.
+#[test]
+fn store_that_came_back_past_the_known_revision_is_read_anew() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    assert!(LocalSet::new().block_on(&runtime, reports_restored_version()));
+}
--- a/crates/apricotknot-standin/src/users_platform/metadata.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -35,6 +35,14 @@
 #[derive(Clone, Debug)]
 pub struct MetadataCopy(MetadataState);
 
+impl MetadataCopy {
+    /// Returns the copy without the keys that start with `prefix`, and without any lease.
+    pub fn without(mut self, prefix: &str) -> Self {
+        self.0.forget(prefix);
+        self
+    }
+}
+
 /// Runs a stand-in key-value service until it is dropped.
 #[derive(Debug)]
 pub struct MetadataServer {
@@ -108,6 +116,11 @@
         state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Returns the value of a key, if it exists.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.lock().items.get(key).map(|item| item.value.clone())
+    }
+
     fn lock(&self) -> MutexGuard<'_, MetadataState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/apricotknot-standin/src/users_platform/metadata_state.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -80,6 +80,12 @@
         *self = Self { era: self.era + 1, ..copy };
     }
 
+    /// Removes the keys that start with `prefix`, and all leases, as if they had never been.
+    pub(super) fn forget(&mut self, prefix: &str) {
+        self.items.retain(|key, _| !key.starts_with(prefix));
+        self.leases.clear();
+    }
+
     /// Grants a lease and returns its id.
     pub(super) fn grant_lease(&mut self, ttl: Duration) -> i64 {
         let lease = self.next_lease;
