--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -254,8 +254,11 @@
     let recorded = vec![RegistryChange::PartQuarantined(BAD)];
     let update = StoreUpdate { registry_changes: recorded, ..StoreUpdate::default() };
     node.state.apply_changes(update, START);
-    let restored = StoreUpdate { is_restored: true, ..StoreUpdate::default() };
+    let record_changes =
+        (0..8).map(|index| RecordChange::EndpointAnnounced(entry(index))).collect();
+    let restored = StoreUpdate { record_changes, is_restored: true, ..StoreUpdate::default() };
     node.state.apply_snapshot(restored, START);
     let bad = TestRequest::new(BAD_INTERVAL, 0, START);
     assert!(node.place(&bad, START).is_none());
+    assert!(node.place(&TestRequest::new(1, 0, START), START).is_some());
 }
