--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -115,6 +115,8 @@
     failures: u32,
     /// Era of the last answer, if there was one.
     era: Option<EraNumber>,
+    /// Whether the service has come back from a copy since all keys were read.
+    is_restored: bool,
 }
 
 impl<S: MetadataStore, T: RecordTranslator> StateFeed<S, T> {
@@ -128,7 +130,16 @@
         events: mpsc::Sender<FeedEvent>,
         node_count: Rc<Cell<usize>>,
     ) -> Self {
-        Self { store, translator, clock, events, node_count, failures: 0, era: None }
+        Self {
+            store,
+            translator,
+            clock,
+            events,
+            node_count,
+            failures: 0,
+            era: None,
+            is_restored: false,
+        }
     }
 
     /// Reads and watches the service until the receiver of the events is closed.
@@ -150,7 +161,8 @@
             },
             Ok(range) => {
                 self.failures = 0;
-                let is_restored = self.observe_era(range.era).await;
+                self.observe_era(range.era).await;
+                let is_restored = std::mem::take(&mut self.is_restored);
                 let mut update = StoreUpdate { is_restored, ..StoreUpdate::default() };
                 for entry in &range.entries {
                     self.read_entry(entry, &mut update).await;
@@ -162,14 +174,18 @@
     }
 
     /// Watches for changes after `revision`, until all keys have to be read again: the revision is
-    /// compacted, there are too many changes, or several calls have failed.
+    /// compacted, there are too many changes, several calls have failed, or the service has come back
+    /// from a copy.
     async fn watch(&mut self, mut revision: RevisionNumber) {
         while !self.events.is_closed() {
             let sent_at = self.clock.now();
             match self.store.changes(ALL_KEYS_PREFIX, revision, WATCH_LIMITS).await {
                 Ok(batch) => {
                     self.failures = 0;
-                    _ = self.observe_era(batch.era).await;
+                    if self.observe_era(batch.era).await {
+                        // The revision identifies another state in this era.
+                        return;
+                    }
                     revision = revision.max(batch.revision);
                     let elapsed = self.clock.now().saturating_sub(sent_at);
                     let as_of = sent_at + confirmed_duration(batch.events.is_empty(), elapsed);
@@ -202,6 +218,7 @@
     async fn observe_era(&mut self, found: EraNumber) -> bool {
         match self.era.replace(found).filter(|held| *held != found) {
             Some(held) => {
+                self.is_restored = true;
                 self.send(FeedEvent::Restored { held, found }).await;
                 true
             },
--- a/crates/apricotknot-gateway/src/store/error.rs
+++ b/crates/apricotknot-gateway/src/store/error.rs
@@ -5,6 +5,8 @@
 use apricotknot_core::types::RevisionNumber;
 use thiserror::Error;
 
+use super::EraNumber;
+
 /// Reports whether a failed write may have taken effect.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum WriteCertainty {
@@ -142,6 +144,17 @@
         /// Revision that the store is at.
         found: RevisionNumber,
     },
+    /// The store came back from an older copy since what the call refers to was read.
+    #[error(
+        "the key-value service came back from a copy: era {found} after {held}; what was read \
+         before identifies nothing now; read the range again"
+    )]
+    Restored {
+        /// Era that the call refers to.
+        held: EraNumber,
+        /// Era of the answer.
+        found: EraNumber,
+    },
     /// The answer to a creation was lost, and the key does not exist at present.
     #[error("{key} does not exist now, but its creation may still take effect")]
     Undecided {
@@ -164,7 +177,7 @@
                 StoreErrorKind::Unavailable
             },
             Self::Rejected { .. } => StoreErrorKind::Rejected,
-            Self::Reverted { .. } => StoreErrorKind::Reverted,
+            Self::Restored { .. } | Self::Reverted { .. } => StoreErrorKind::Reverted,
             Self::TimedOut { .. } | Self::Undecided { .. } => StoreErrorKind::TimedOut,
             Self::TooLarge { .. } => StoreErrorKind::TooLarge,
             Self::Malformed { .. } => StoreErrorKind::Malformed,
@@ -187,6 +200,7 @@
             Self::Broken { .. }
             | Self::Failed { .. }
             | Self::TimedOut { .. }
+            | Self::Restored { .. }
             | Self::Undecided { .. }
             | Self::Malformed { .. } => WriteCertainty::Unknown,
         }
