control: a restored key-value service does not undo what the node knows

From a copy it ended evacuations, made endpoints that leave ready again, brought back endpoints that are gone, dropped those that had not announced themselves again yet, and released quarantined prompt parts. Class: knowledge that is older than one's own, taken as newer as it came later.

Now, for 30 s after the service came back from a copy, a full reading only adds: an evacuation stays until operators write its record again or remove it, a registration from before an endpoint left or was removed is ignored, and those without one have the 2.2 s that they have after an outage. What operators and endpoints write after that counts at once, as it arrives as a change. After 30 s the service's word counts again.

--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod quarantine_recorder;
 mod registry;
 mod request_quarantine;
+mod restore_hold;
 mod runner;
 mod shared;
 mod state;
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -40,6 +40,7 @@
 use super::RegistryChange;
 use super::StoreUpdate;
 use super::request_quarantine::RequestQuarantine;
+use super::restore_hold::RestoreHold;
 use super::wait_queue::PlacementSender;
 use super::wait_queue::WaitQueue;
 use super::wait_queue::WaitingRequest;
@@ -105,6 +106,7 @@
     /// Endpoints without a record after an outage of the store, with the time until which they may
     /// announce themselves again.
     missing_until: BTreeMap<EndpointId, MonotonicTime>,
+    restore_hold: RestoreHold,
 }
 
 impl ControlState {
@@ -136,6 +138,7 @@
             store_unreachable_since: None,
             store_reachable_since: None,
             missing_until: BTreeMap::new(),
+            restore_hold: RestoreHold::default(),
         }
     }
 
@@ -171,14 +174,21 @@
 
     /// Applies the complete content of the key-value service.
     ///
-    /// Endpoints, evacuations and nodes that it does not contain are removed. Returns the
-    /// configuration if it is newer than the one in force.
+    /// Endpoints, evacuations and nodes that it does not contain are removed. After the service has
+    /// come back from a copy, what the copy has lost is kept for a while. Returns the configuration
+    /// if it is newer than the one in force.
     pub fn apply_snapshot(
         &mut self,
-        update: StoreUpdate,
+        mut update: StoreUpdate,
         now: MonotonicTime,
     ) -> Option<Arc<DesiredState>> {
         self.record_store_reachable(now);
+        if update.is_restored {
+            // Endpoints announce themselves again, as after an outage.
+            self.store_reachable_since = Some(now);
+            self.restore_hold.begin(now);
+        }
+        let is_held = self.restore_hold.is_active(now);
         let mut endpoints = BTreeSet::new();
         let mut evacuated = BTreeSet::new();
         for record in &update.record_changes {
@@ -200,14 +210,26 @@
         let known = self.fleet.evacuated();
         let restored: Vec<_> = known.filter(|id| !evacuated.contains(*id)).cloned().collect();
         for centre in restored {
-            self.fleet.set_evacuated(centre, false, now);
+            match is_held {
+                true => self.restore_hold.hold_evacuated(centre),
+                false => self.fleet.set_evacuated(centre, false, now),
+            }
+        }
+        if is_held {
+            let (hold, fleet) = (&self.restore_hold, &self.fleet);
+            update.record_changes.retain(|record| match record {
+                RecordChange::EndpointAnnounced(entry) => !hold.is_outdated(entry, fleet),
+                _ => true,
+            });
         }
         let present = update.registry_changes.iter().filter_map(|change| match change {
             RegistryChange::NodeAnnounced(node, _) => Some(Arc::clone(node)),
             _ => None,
         });
         self.registry.retain(&present.collect::<Vec<_>>(), now);
-        self.quarantine.retain_recorded(&update.registry_changes);
+        if !is_held {
+            self.quarantine.retain_recorded(&update.registry_changes);
+        }
         self.apply_changes(update, now)
     }
 
@@ -255,6 +277,9 @@
         self.registry.expire(now);
         self.update_nodes(now);
         self.remove_missing(now);
+        for centre in self.restore_hold.expire(now) {
+            self.fleet.set_evacuated(centre, false, now);
+        }
         if now >= self.next_pass {
             self.next_pass = now + pass_interval(self.wait_queue.len());
             self.place_waiting(now);
@@ -445,10 +470,12 @@
                 self.remove_or_defer(endpoint, now);
             },
             RecordChange::DataCentreEvacuated(centre) => {
-                self.fleet.set_evacuated(centre, true, now)
+                self.restore_hold.release_evacuated(&centre);
+                self.fleet.set_evacuated(centre, true, now);
             },
             RecordChange::DataCentreRestored(centre) => {
-                self.fleet.set_evacuated(centre, false, now)
+                self.restore_hold.release_evacuated(&centre);
+                self.fleet.set_evacuated(centre, false, now);
             },
         }
         None
@@ -479,8 +506,16 @@
             .filter(|end| *end > now)
         {
             Some(end) => _ = self.missing_until.entry(endpoint).or_insert(end),
-            None => self.fleet.remove_endpoint(&endpoint),
+            None => self.remove_endpoint(&endpoint, now),
+        }
+    }
+
+    fn remove_endpoint(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+        if let Some(state) = self.fleet.endpoint(endpoint) {
+            let incarnation = state.entry.incarnation;
+            self.restore_hold.record_removed(Arc::clone(endpoint), incarnation, now);
         }
+        self.fleet.remove_endpoint(endpoint);
     }
 
     fn remove_missing(&mut self, now: MonotonicTime) {
@@ -492,7 +527,7 @@
             .collect();
         for endpoint in expired {
             self.missing_until.remove(&endpoint);
-            self.fleet.remove_endpoint(&endpoint);
+            self.remove_endpoint(&endpoint, now);
         }
     }
 }
