gateway: nodes write their own records again once the key-value service came back from a copy

A node that started after the loss made a secret of its own; the others read it and still signed with the first, as the seal was set once, so neither heard the other.

Now a full reading after a restore makes each node announce itself again within 0.6 s, spread over the nodes, offer the secret that it holds (the first one wins, and all offer the same) and record the quarantined parts that it knows.

--- a/crates/apricotknot-core/src/fleet/part_history.rs
+++ b/crates/apricotknot-core/src/fleet/part_history.rs
@@ -307,6 +307,11 @@
 
 // Methods that only read the history.
 impl PartHistory {
+    /// Returns the parts that the key-value service lists.
+    pub fn stored(&self) -> impl Iterator<Item = PromptPartId> {
+        self.stored.iter().copied()
+    }
+
     /// Returns whether any of `parts` has crashed so many endpoints that no prompt with it may be
     /// sent.
     pub fn is_quarantined(&self, parts: &[PromptPartId], now: MonotonicTime) -> bool {
--- a/crates/apricotknot-gateway/src/control/announcer.rs
+++ b/crates/apricotknot-gateway/src/control/announcer.rs
@@ -1,5 +1,6 @@
 //! Announces a node in the key-value service while it runs.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,13 +32,36 @@
 /// Length of the peer secret, in bytes.
 const SECRET_BYTES: usize = 32;
 
+/// Longest delay until the records of a node are written again after the service lost them.
+///
+/// The nodes spread their calls over this time.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(600);
+
+/// Signals to the announcer from the control thread's other tasks.
+#[derive(Debug, Default)]
+pub(super) struct AnnouncerSignals {
+    /// Notified when the node is to be withdrawn.
+    pub(super) stop: Notify,
+    /// Notified when the service has come back from a copy.
+    pub(super) restored: Notify,
+    /// Secret that the nodes share, once it was read.
+    pub(super) secret: RefCell<Option<Vec<u8>>>,
+}
+
+/// Why the announcer no longer renews a lease.
+enum LeaseEnd {
+    /// The node is to be withdrawn.
+    Stopped,
+    /// The lease has expired, or the service has lost it.
+    Lost,
+}
+
 /// Keeps the record of one node announced, and creates the peer secret if there is none.
 pub(super) struct NodeAnnouncer<S> {
     store: S,
     node: NodeId,
     record: NodeRecord,
-    /// Notified when the node is to be withdrawn.
-    stop_signal: Rc<Notify>,
+    signals: Rc<AnnouncerSignals>,
     logger: Logger,
 }
 
@@ -46,24 +70,24 @@
         store: S,
         node: NodeId,
         record: NodeRecord,
-        stop_signal: Rc<Notify>,
+        signals: Rc<AnnouncerSignals>,
         logger: Logger,
     ) -> Self {
-        Self { store, node, record, stop_signal, logger }
+        Self { store, node, record, signals, logger }
     }
 
     /// Keeps the node announced until the stop signal, then withdraws it.
     pub(super) async fn run(self) {
-        self.create_secret().await;
         loop {
+            self.create_secret().await;
             match self.announce().await {
                 Ok(lease) => {
                     info!(self.logger, "registry: node announced"; "lease" => lease.id, "era" => lease.era);
-                    if self.keep_lease_alive(lease).await {
+                    if let LeaseEnd::Stopped = self.keep_lease_alive(lease).await {
                         return self.withdraw(lease).await;
                     }
                     warn!(
-                        self.logger, "registry: lease expired; announcing the node again";
+                        self.logger, "registry: lease lost; announcing the node again";
                         "lease" => lease.id
                     );
                 },
@@ -79,7 +103,9 @@
     }
 
     async fn create_secret(&self) {
-        let secret: [u8; SECRET_BYTES] = rand::random();
+        // Nodes that share a secret keep it if the service has lost it.
+        let known = self.signals.secret.borrow().clone();
+        let secret = known.unwrap_or_else(|| rand::random::<[u8; SECRET_BYTES]>().to_vec());
         let request = SwapRequest::create(secret_key(), secret);
         loop {
             // A conflict means that another node was first; the feed reads its secret.
@@ -110,17 +136,20 @@
         Ok(lease)
     }
 
-    /// Renews the lease until it has expired (returns `false`) or the node is to be withdrawn
-    /// (returns `true`).
-    async fn keep_lease_alive(&self, lease: StoreLease) -> bool {
+    /// Renews the lease until it is lost or the node is to be withdrawn.
+    async fn keep_lease_alive(&self, lease: StoreLease) -> LeaseEnd {
         loop {
             tokio::select! {
-                () = self.stop_signal.notified() => return true,
+                () = self.signals.stop.notified() => return LeaseEnd::Stopped,
+                () = self.signals.restored.notified() => {
+                    tokio::time::sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
+                    return LeaseEnd::Lost;
+                },
                 () = tokio::time::sleep(RENEW_INTERVAL) => {},
             }
             match self.store.renew_lease(lease).await {
                 Ok(true) => {},
-                Ok(false) => return false,
+                Ok(false) => return LeaseEnd::Lost,
                 Err(error) => {
                     warn!(
                         self.logger, "registry: cannot renew the lease; retrying";
--- a/crates/apricotknot-gateway/src/control/request_quarantine.rs
+++ b/crates/apricotknot-gateway/src/control/request_quarantine.rs
@@ -117,6 +117,11 @@
         self.parts.retain_stored(&recorded.collect::<Vec<_>>());
     }
 
+    /// Returns the parts that are recorded in the key-value service, as far as this node knows.
+    pub(super) fn recorded_parts(&self) -> Vec<PromptPartId> {
+        self.parts.stored().collect()
+    }
+
     /// Returns whether a request must not be sent.
     ///
     /// With `may_probe`, a request with a quarantined part is let through from time to time.
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -20,7 +20,6 @@
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -34,6 +33,7 @@
 use super::NodeRecord;
 use super::SharedState;
 use super::StateFeed;
+use super::announcer::AnnouncerSignals;
 use super::announcer::NodeAnnouncer;
 use super::loop_load::InputKind;
 use super::loop_load::LoopLoad;
@@ -41,7 +41,7 @@
 use super::quarantine_recorder::RECORDER_CAPACITY;
 use crate::clock::BootClock;
 use crate::clock::millis;
-use crate::peers::DatagramSeal;
+use crate::peers::PeerSeals;
 use crate::protocol::RecordChange;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
@@ -131,10 +131,10 @@
     /// Number of nodes; the feed reads it.
     node_count: Rc<Cell<usize>>,
     socket: UdpSocket,
-    /// Task that keeps the node announced until `stop_signal` is notified.
+    /// Task that keeps the node announced until it is told to stop.
     announcer_task: JoinHandle<()>,
-    stop_signal: Rc<Notify>,
-    seal: Option<DatagramSeal>,
+    announcer_signals: Rc<AnnouncerSignals>,
+    seals: PeerSeals,
     shared: Arc<SharedState>,
     logger: Logger,
     snapshot_sent_at: MonotonicTime,
@@ -164,7 +164,7 @@
         actix_rt::spawn(state_feed.run());
         let record = NodeRecord { address: parts.peer_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
-        let stop_signal = Rc::new(Notify::new());
+        let announcer_signals = Rc::new(AnnouncerSignals::default());
         let (recorder, recorded_parts) = mpsc::channel(RECORDER_CAPACITY);
         let quarantine_recorder =
             QuarantineRecorder::new(parts.store.clone(), recorded_parts, logger.clone());
@@ -173,7 +173,7 @@
             parts.store,
             Arc::clone(&parts.node),
             record,
-            Rc::clone(&stop_signal),
+            Rc::clone(&announcer_signals),
             logger,
         );
         let announcer_task = actix_rt::spawn(announcer.run());
@@ -189,8 +189,8 @@
             socket,
             node_count,
             announcer_task,
-            stop_signal,
-            seal: None,
+            announcer_signals,
+            seals: PeerSeals::default(),
             shared: parts.shared,
             logger: parts.logger,
             snapshot_sent_at: MonotonicTime::ZERO,
@@ -246,15 +246,29 @@
                 self.logger, "control: prompt part quarantined; refusing prompts that contain it";
                 "part" => notice.part, "crashes" => notice.crashes, "is_own" => notice.is_own
             );
-            if notice.is_own && self.recorder.try_send(notice.part).is_err() {
-                warn!(
-                    self.logger, "quarantine: too many prompt parts to record; dropping one";
-                    "part" => notice.part
-                );
+            if notice.is_own {
+                self.record_part(notice.part);
             }
         }
     }
 
+    /// Writes the node's own records again, as the key-value service may have lost them.
+    fn write_records_again(&self) {
+        self.announcer_signals.restored.notify_one();
+        for part in self.state.quarantined_parts() {
+            self.record_part(part);
+        }
+    }
+
+    fn record_part(&self, part: PromptPartId) {
+        if self.recorder.try_send(part).is_err() {
+            warn!(
+                self.logger, "quarantine: too many prompt parts to record; dropping one";
+                "part" => part
+            );
+        }
+    }
+
     /// Logs the limits that endpoints state from now on, and those that have ended.
     fn log_rate_changes(&mut self) {
         for change in self.state.take_rate_changes() {
@@ -304,7 +318,7 @@
     }
 
     async fn withdraw(&mut self) {
-        self.stop_signal.notify_one();
+        self.announcer_signals.stop.notify_one();
         if tokio::time::timeout(WITHDRAW_TIMEOUT, &mut self.announcer_task).await.is_err() {
             warn!(
                 self.logger, "registry: cannot withdraw the node; its lease will expire";
@@ -319,6 +333,9 @@
         let (newest, as_of) = match event {
             FeedEvent::Snapshot { update, as_of } => {
                 self.log_reachable_again(now);
+                if update.is_restored {
+                    self.write_records_again();
+                }
                 info!(
                     self.logger, "control: store snapshot read";
                     "records" => update.record_changes.len(),
@@ -373,8 +390,10 @@
         }
         self.node_count.set(self.state.registry().count());
         self.shared.confirm_as_of(as_of);
-        if self.seal.is_none() {
-            self.seal = self.state.secret().and_then(DatagramSeal::new);
+        if let Some(secret) = self.state.secret()
+            && self.seals.set_secret(secret)
+        {
+            self.announcer_signals.secret.replace(Some(secret.to_vec()));
         }
     }
 
@@ -412,11 +431,9 @@
     }
 
     fn handle_datagram(&mut self, datagram: &[u8]) {
-        let Some(seal) = &self.seal else {
-            return;
-        };
-        match seal.decode(datagram) {
-            Ok(snapshot) => self.state.apply_peer_snapshot(snapshot, self.clock.now()),
+        match self.seals.decode(datagram) {
+            Ok(None) => {},
+            Ok(Some(snapshot)) => self.state.apply_peer_snapshot(snapshot, self.clock.now()),
             Err(error) => warn!(
                 self.logger, "control: dropping a peer datagram"; "error" => %error
             ),
@@ -428,7 +445,7 @@
         if !self.has_unsent_changes && now < self.snapshot_sent_at + SNAPSHOT_INTERVAL {
             return;
         }
-        let Some(seal) = &self.seal else {
+        let Some(seal) = self.seals.current() else {
             return;
         };
         self.has_unsent_changes = false;
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -14,6 +14,7 @@
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::RateChange;
 use apricotknot_core::fleet::RetryLimiter;
@@ -548,6 +549,11 @@
         self.peer_secret.as_deref()
     }
 
+    /// Returns the prompt parts that this node knows to be recorded as quarantined.
+    pub fn quarantined_parts(&self) -> Vec<PromptPartId> {
+        self.quarantine.recorded_parts()
+    }
+
     /// Returns since when the key-value service is unreachable, or `None` if it is reachable.
     pub fn store_unreachable_since(&self) -> Option<MonotonicTime> {
         self.store_unreachable_since
--- a/crates/apricotknot-gateway/src/peers/mod.rs
+++ b/crates/apricotknot-gateway/src/peers/mod.rs
@@ -5,7 +5,9 @@
 
 mod datagram_error;
 mod datagram_seal;
+mod peer_seals;
 mod snapshot_codec;
 
 pub use datagram_error::DatagramError;
 pub use datagram_seal::DatagramSeal;
+pub use peer_seals::PeerSeals;
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -9,6 +9,7 @@
 use apricotknot_core::fleet::WorkSnapshot;
 use apricotknot_gateway::peers::DatagramError;
 use apricotknot_gateway::peers::DatagramSeal;
+use apricotknot_gateway::peers::PeerSeals;
 use hmac::Hmac;
 use hmac::KeyInit;
 use hmac::Mac;
@@ -128,3 +129,20 @@
     bytes.extend([200, 9, 0, 0, 0, 1]);
     assert_eq!(seal.decode(&sign(&bytes)), Err(DatagramError::Malformed));
 }
+
+#[test]
+fn datagram_is_read_with_the_secret_before_until_all_nodes_know_the_new_one() {
+    let mut seals = PeerSeals::default();
+    let sealed = |secret: &[u8]| {
+        let seal = DatagramSeal::new(secret).expect("seal of the secret");
+        seal.encode(&snapshot()).expect("encoded datagram")
+    };
+    assert_eq!(seals.decode(&sealed(b"first")), Ok(None));
+    assert!(seals.set_secret(b"first") && !seals.set_secret(b"first"));
+    assert_eq!(seals.decode(&sealed(b"second")), Err(DatagramError::InvalidSignature));
+    assert!(seals.set_secret(b"second"));
+    for secret in ["first", "second"] {
+        assert_eq!(seals.decode(&sealed(secret.as_bytes())), Ok(Some(snapshot())));
+    }
+    assert_eq!(seals.decode(&sealed(b"third")), Err(DatagramError::InvalidSignature));
+}
