gateway: a configuration that the key-value service lost is kept there by nodes that know it

Cause (hypothesis 4): a node keeps the newest version that it has seen, but only in memory. One that starts before the operators write again reads the older version as the one in force, and serves a key that is revoked; and a service that is behind confirmed that it holds the newest version.

Now the first node in the order of names (the others after 0.1 s each, unless one has) writes the version in force under its own number, for 10 minutes, when the service came back without it; every node applies the newest version of both places. Until the operators have written a version as new again, or 2.2 s have passed, such a service does not confirm what is in force, so knowledge ages as during an outage. The task that recorded quarantined parts writes both kinds of record.

A version is never replaced by an older one for the life of a process; what operators do not write again within 10 minutes is unknown to nodes that start later.

--- a/crates/apricotknot-core/src/routing/desired_state.rs
+++ b/crates/apricotknot-core/src/routing/desired_state.rs
@@ -1,6 +1,7 @@
 //! One version of the configuration of routed requests.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::KeyTable;
@@ -50,6 +51,8 @@
 pub struct DesiredState {
     /// Orders the versions; a larger number is newer.
     pub version: u64,
+    /// Record that the version was read from, as operators wrote it.
+    pub source: Arc<[u8]>,
     /// Routes by host and path prefix.
     pub routes: RouteTable,
     /// Profiles of the services that the routes lead to.
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -13,6 +13,7 @@
 use super::StoreUpdate;
 use super::registry;
 use crate::clock::BootClock;
+use crate::protocol::RecordChange;
 use crate::protocol::RecordTranslator;
 use crate::protocol::TranslationError;
 use crate::store::EraNumber;
@@ -244,6 +245,9 @@
     }
 
     async fn read_entry(&self, entry: &StoreEntry, update: &mut StoreUpdate) {
+        if registry::is_configuration_key(&entry.key) {
+            return self.read_kept_configuration(entry, update).await;
+        }
         update.registry_changes.extend(registry::parse_put(&entry.key, &entry.value));
         match self.translator.translate_put(&entry.key, &entry.value, self.clock.now()) {
             Ok(record) => update.record_changes.extend(record),
@@ -251,6 +255,15 @@
         }
     }
 
+    async fn read_kept_configuration(&self, entry: &StoreEntry, update: &mut StoreUpdate) {
+        match self.translator.translate_configuration(&entry.key, &entry.value) {
+            Ok(desired) => {
+                update.record_changes.push(RecordChange::KeptConfiguration(Box::new(desired)));
+            },
+            Err(error) => self.send(FeedEvent::Skipped(error)).await,
+        }
+    }
+
     async fn report_failure(&mut self, error: StoreError) {
         let retry_delay = FIRST_RETRY_DELAY * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -17,6 +17,9 @@
 /// Prefix of the keys of prompt parts that crash endpoints.
 const PART_PREFIX: &str = "apricotknot/quarantined-parts/";
 
+/// Prefix of the keys of configurations that nodes keep, each under its version.
+const CONFIGURATION_PREFIX: &str = "apricotknot/configurations/";
+
 /// Key of the secret with which nodes sign their datagrams.
 const SECRET_KEY: &str = "apricotknot/peer-secret";
 
@@ -97,6 +100,11 @@
         self.nodes.len().max(1)
     }
 
+    /// Returns the number of nodes whose names come before `own`.
+    pub fn index_of(&self, own: &str) -> usize {
+        self.nodes.keys().filter(|node| &***node < own).count()
+    }
+
     /// Returns the names of the nodes among which shared limits are divided.
     pub fn names(&self) -> Vec<NodeId> {
         self.nodes.keys().cloned().collect()
@@ -120,6 +128,16 @@
     format!("{NODE_PREFIX}{node}").into()
 }
 
+/// Returns the key under which nodes keep a version of the configuration.
+pub(super) fn configuration_key(version: u64) -> Arc<str> {
+    format!("{CONFIGURATION_PREFIX}{version:020}").into()
+}
+
+/// Returns whether nodes keep a version of the configuration under `key`.
+pub(super) fn is_configuration_key(key: &str) -> bool {
+    key.starts_with(CONFIGURATION_PREFIX)
+}
+
 /// Returns the key of the peer secret.
 pub(super) fn secret_key() -> Arc<str> {
     SECRET_KEY.into()
--- a/crates/apricotknot-gateway/src/control/runner.rs
+++ b/crates/apricotknot-gateway/src/control/runner.rs
@@ -37,8 +37,11 @@
 use super::announcer::NodeAnnouncer;
 use super::loop_load::InputKind;
 use super::loop_load::LoopLoad;
-use super::quarantine_recorder::QuarantineRecorder;
-use super::quarantine_recorder::RECORDER_CAPACITY;
+use super::record_keeper::KEEPER_CAPACITY;
+use super::record_keeper::KeptRecord;
+use super::record_keeper::RecordKeeper;
+use super::registry::configuration_key;
+use super::registry::part_key;
 use crate::clock::BootClock;
 use crate::clock::millis;
 use crate::peers::PeerSeals;
@@ -140,8 +143,8 @@
     snapshot_sent_at: MonotonicTime,
     has_unsent_changes: bool,
     load: LoopLoad,
-    /// Sends prompt parts to the task that records them in the key-value service.
-    recorder: mpsc::Sender<PromptPartId>,
+    /// Sends records to the task that writes them to the key-value service.
+    keeper: mpsc::Sender<KeptRecord>,
 }
 
 impl ControlRunner {
@@ -165,10 +168,9 @@
         let record = NodeRecord { address: parts.peer_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
         let announcer_signals = Rc::new(AnnouncerSignals::default());
-        let (recorder, recorded_parts) = mpsc::channel(RECORDER_CAPACITY);
-        let quarantine_recorder =
-            QuarantineRecorder::new(parts.store.clone(), recorded_parts, logger.clone());
-        actix_rt::spawn(quarantine_recorder.run());
+        let (keeper, kept_records) = mpsc::channel(KEEPER_CAPACITY);
+        let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
+        actix_rt::spawn(record_keeper.run());
         let announcer = NodeAnnouncer::new(
             parts.store,
             Arc::clone(&parts.node),
@@ -196,7 +198,7 @@
             snapshot_sent_at: MonotonicTime::ZERO,
             has_unsent_changes: false,
             load: LoopLoad::default(),
-            recorder,
+            keeper,
         })
     }
 
@@ -233,6 +235,7 @@
             self.state.tick(self.clock.now());
             self.publish_notices();
             self.log_rate_changes();
+            self.keep_lost_configuration();
             self.send_snapshot();
             self.record_load(kind, woken);
         }
@@ -261,10 +264,29 @@
     }
 
     fn record_part(&self, part: PromptPartId) {
-        if self.recorder.try_send(part).is_err() {
+        self.keep_record(KeptRecord { key: part_key(part), value: Arc::from(*b"{}") });
+    }
+
+    /// Writes the configuration in force to the key-value service if that has lost it.
+    fn keep_lost_configuration(&mut self) {
+        let Some(desired) = self.state.take_lost_configuration(self.clock.now()) else {
+            return;
+        };
+        warn!(
+            self.logger,
+            "control: key-value service lost the configuration in force; keeping it there";
+            "version" => desired.version
+        );
+        let (key, value) = (configuration_key(desired.version), Arc::clone(&desired.source));
+        self.keep_record(KeptRecord { key, value });
+    }
+
+    fn keep_record(&self, record: KeptRecord) {
+        if let Err(error) = self.keeper.try_send(record) {
+            let record = error.into_inner();
             warn!(
-                self.logger, "quarantine: too many prompt parts to record; dropping one";
-                "part" => part
+                self.logger, "records: too many records to keep; dropping one";
+                "key" => &*record.key
             );
         }
     }
@@ -389,7 +411,9 @@
             self.shared.set_desired(desired);
         }
         self.node_count.set(self.state.registry().count());
-        self.shared.confirm_as_of(as_of);
+        if self.state.is_configuration_confirmed(now) {
+            self.shared.confirm_as_of(as_of);
+        }
         if let Some(secret) = self.state.secret()
             && self.seals.set_secret(secret)
         {
@@ -425,7 +449,7 @@
                 RecordChange::DataCentreRestored(centre) => {
                     info!(self.logger, "control: data centre restored"; "data_centre" => %centre);
                 },
-                RecordChange::Configuration(_) => {},
+                RecordChange::Configuration(_) | RecordChange::KeptConfiguration(_) => {},
             }
         }
     }
--- a/crates/apricotknot-gateway/src/control/state.rs
+++ b/crates/apricotknot-gateway/src/control/state.rs
@@ -40,6 +40,7 @@
 use super::QuarantineNotice;
 use super::RegistryChange;
 use super::StoreUpdate;
+use super::kept_configuration::KeptConfiguration;
 use super::request_quarantine::RequestQuarantine;
 use super::restore_hold::RestoreHold;
 use super::wait_queue::PlacementSender;
@@ -108,6 +109,7 @@
     /// announce themselves again.
     missing_until: BTreeMap<EndpointId, MonotonicTime>,
     restore_hold: RestoreHold,
+    kept_configuration: KeptConfiguration,
 }
 
 impl ControlState {
@@ -140,6 +142,7 @@
             store_reachable_since: None,
             missing_until: BTreeMap::new(),
             restore_hold: RestoreHold::default(),
+            kept_configuration: KeptConfiguration::default(),
         }
     }
 
@@ -188,6 +191,7 @@
             // Endpoints announce themselves again, as after an outage.
             self.store_reachable_since = Some(now);
             self.restore_hold.begin(now);
+            self.kept_configuration.record_restored(self.registry.index_of(&self.node), now);
         }
         let is_held = self.restore_hold.is_active(now);
         let mut endpoints = BTreeSet::new();
@@ -297,6 +301,13 @@
         std::mem::take(&mut self.rate_changes)
     }
 
+    /// Takes the configuration in force if this node has to write it to the key-value service,
+    /// which has lost it.
+    pub fn take_lost_configuration(&mut self, now: MonotonicTime) -> Option<Arc<DesiredState>> {
+        let desired = self.desired.as_ref()?;
+        self.kept_configuration.take_write(desired.version, now).then(|| Arc::clone(desired))
+    }
+
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
     pub fn next_snapshot(&mut self, now: MonotonicTime) -> LoadSnapshot {
         self.sequence += 1;
@@ -457,7 +468,14 @@
         now: MonotonicTime,
     ) -> Option<Arc<DesiredState>> {
         match record {
-            RecordChange::Configuration(desired) => return self.apply_configuration(*desired),
+            RecordChange::Configuration(desired) => {
+                self.kept_configuration.set_operator_version(desired.version);
+                return self.apply_configuration(*desired);
+            },
+            RecordChange::KeptConfiguration(desired) => {
+                self.kept_configuration.set_kept_version(desired.version);
+                return self.apply_configuration(*desired);
+            },
             RecordChange::EndpointAnnounced(entry) => {
                 self.missing_until.remove(&entry.id);
                 let known = self.fleet.endpoint(&entry.id).map(|state| state.entry.incarnation);
@@ -549,6 +567,16 @@
         self.peer_secret.as_deref()
     }
 
+    /// Returns whether the key-value service, as last read, confirms that the configuration in force
+    /// is the newest one.
+    ///
+    /// A service that came back from a copy without it does not, until operators had the time to
+    /// write it again.
+    pub fn is_configuration_confirmed(&self, now: MonotonicTime) -> bool {
+        let version = self.desired.as_ref().map(|desired| desired.version);
+        version.is_none_or(|version| self.kept_configuration.is_confirmed(version, now))
+    }
+
     /// Returns the prompt parts that this node knows to be recorded as quarantined.
     pub fn quarantined_parts(&self) -> Vec<PromptPartId> {
         self.quarantine.recorded_parts()
--- a/crates/apricotknot-gateway/src/protocol/record_translator.rs
+++ b/crates/apricotknot-gateway/src/protocol/record_translator.rs
@@ -12,6 +12,8 @@
 pub enum RecordChange {
     /// Operators have written this configuration.
     Configuration(Box<DesiredState>),
+    /// A node keeps this configuration, which operators wrote earlier.
+    KeptConfiguration(Box<DesiredState>),
     /// An endpoint has announced itself, or changed its announcement.
     EndpointAnnounced(EndpointEntry),
     /// The record of an endpoint was removed.
@@ -46,6 +48,17 @@
         now: MonotonicTime,
     ) -> Result<Option<RecordChange>, TranslationError>;
 
+    /// Translates the record of a configuration that a node keeps under a key of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record cannot be read.
+    fn translate_configuration(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> Result<DesiredState, TranslationError>;
+
     /// Translates the removal of a key; returns `None` if the key is not one of the platform's.
     fn translate_delete(&self, key: &str) -> Option<RecordChange>;
 }
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -362,6 +362,64 @@
     assert_eq!(node.state.fleet().endpoints().count(), 1);
 }
 
+fn configuration(version: u64) -> RecordChange {
+    RecordChange::Configuration(Box::new(desired(version)))
+}
+
+#[test]
+fn restored_store_that_is_behind_confirms_nothing_until_operators_write_again() {
+    let mut node = TestNode::with_engines(1);
+    node.state.apply_changes(update_of(vec![configuration(9)]), NOW);
+    assert!(node.state.is_configuration_confirmed(NOW));
+    node.state.apply_snapshot(restored_update(vec![configuration(5)]), NOW);
+    let later = NOW + Duration::from_secs(1);
+    assert!(!node.state.is_configuration_confirmed(later));
+    node.state.apply_changes(update_of(vec![configuration(9)]), later);
+    assert!(node.state.is_configuration_confirmed(later));
+    node.state.apply_snapshot(restored_update(vec![configuration(5)]), later);
+    assert!(!node.state.is_configuration_confirmed(later));
+    let never = later + Duration::from_secs(3);
+    assert!(node.state.is_configuration_confirmed(never), "operators had the time to write it");
+}
+
+#[test]
+fn restored_store_that_is_not_behind_confirms_the_configuration() {
+    let mut node = TestNode::with_engines(1);
+    node.state.apply_snapshot(restored_update(vec![configuration(1)]), NOW);
+    assert!(node.state.is_configuration_confirmed(NOW));
+    assert!(node.state.take_lost_configuration(NOW + Duration::from_secs(2)).is_none());
+}
+
+#[test]
+fn configuration_that_the_store_lost_is_written_once_by_the_first_node() {
+    let mut node = TestNode::with_engines(1);
+    node.state.apply_changes(update_of(vec![configuration(9)]), NOW);
+    let lost = || restored_update(vec![configuration(5)]);
+    node.state.apply_snapshot(lost(), NOW);
+    let written = node.state.take_lost_configuration(NOW).map(|desired| desired.version);
+    assert_eq!(written, Some(9));
+    assert!(node.state.take_lost_configuration(NOW + Duration::from_secs(2)).is_none());
+    let peers = ["a", "b"].map(|name| {
+        let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
+        RegistryChange::NodeAnnounced(name.into(), record)
+    });
+    node.state.apply_changes(registry_update(peers.to_vec()), NOW);
+    node.state.apply_snapshot(lost(), NOW);
+    assert!(node.state.take_lost_configuration(NOW).is_none(), "another node is first");
+    let kept = RecordChange::KeptConfiguration(Box::new(desired(9)));
+    node.state.apply_changes(update_of(vec![kept]), NOW);
+    assert!(node.state.take_lost_configuration(NOW + Duration::from_secs(2)).is_none());
+}
+
+#[test]
+fn node_that_starts_uses_the_configuration_that_others_keep() {
+    let mut node = TestNode::with_engines(1);
+    let kept = RecordChange::KeptConfiguration(Box::new(desired(9)));
+    let newest = node.state.apply_snapshot(update_of(vec![kept, configuration(5)]), NOW);
+    assert_eq!(newest.map(|desired| desired.version), Some(9));
+    assert!(node.state.is_configuration_confirmed(NOW));
+}
+
 #[test]
 fn crashes_reported_by_peers_quarantine_a_request() {
     let mut node = TestNode::with_engines(1);
--- a/crates/apricotknot-gateway/tests/state_feed.rs
+++ b/crates/apricotknot-gateway/tests/state_feed.rs
@@ -128,6 +128,10 @@
         Ok(Some(RecordChange::Configuration(Box::new(desired))))
     }
 
+    fn translate_configuration(&self, _: &str, _: &[u8]) -> Result<DesiredState, TranslationError> {
+        panic!("no node keeps a configuration")
+    }
+
     fn translate_delete(&self, _: &str) -> Option<RecordChange> {
         None
     }
