--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -6,7 +6,6 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
@@ -15,7 +14,6 @@
 use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::EngineModel;
 use apricotknot_core::fleet::LoadSnapshot;
-use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::WaitSnapshot;
@@ -36,6 +34,7 @@
 use tokio::sync::oneshot;
 
 use support::engine_entry;
+use support::placement_request;
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -80,22 +79,11 @@
         change: impl FnOnce(&mut PlacementRequest),
     ) -> PlacementReceiver {
         self.next_attempt += 1;
+        let size = RequestSize { prompt, expected_output: 100, max_output: 100 };
         let mut request = PlacementRequest {
             attempt: self.next_attempt,
-            query: PlacementQuery {
-                service: "model".into(),
-                size: RequestSize { prompt, expected_output: 100, max_output: 100 },
-                regions: None,
-                excluded: Vec::new(),
-                arrived: now,
-                target_latency: Duration::from_millis(300),
-                pause_limit: Duration::from_millis(250),
-                deadline: now + Duration::from_secs(10),
-            },
-            is_retry: false,
-            may_wait: true,
             fingerprint: 7,
-            shared_parts: Arc::default(),
+            ..placement_request(0, size, now)
         };
         change(&mut request);
         let (reply, receiver) = oneshot::channel();
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -10,7 +10,6 @@
 
 use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::PartCrashReport;
-use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::fleet::RetryPolicy;
@@ -29,6 +28,7 @@
 use tokio::sync::oneshot;
 
 use support::engine_entry;
+use support::placement_request;
 
 const START: Duration = Duration::from_secs(100);
 
@@ -79,21 +79,9 @@
     /// Requests an endpoint; returns `None` if the request is refused.
     fn place(&mut self, request: &TestRequest, now: Duration) -> Option<EndpointGrant> {
         let placement = PlacementRequest {
-            attempt: u128::from(request.id),
-            query: PlacementQuery {
-                service: "model".into(),
-                size: RequestSize::default(),
-                regions: None,
-                excluded: Vec::new(),
-                arrived: now,
-                target_latency: Duration::from_millis(300),
-                pause_limit: Duration::from_millis(250),
-                deadline: now + Duration::from_secs(10),
-            },
-            is_retry: false,
             may_wait: false,
-            fingerprint: request.id,
             shared_parts: Arc::clone(&request.parts),
+            ..placement_request(request.id, RequestSize::default(), now)
         };
         let (reply, mut receiver) = oneshot::channel();
         let command = ControlCommand::Place { request: Box::new(placement), reply };
--- a/crates/apricotknot-gateway/tests/state_feed.rs
+++ b/crates/apricotknot-gateway/tests/state_feed.rs
@@ -45,6 +45,62 @@
 /// Number of versions that a storm writes.
 const STORM_VERSIONS: u64 = 40;
 
+/// Calls of a store that a feed makes, for all keys.
+#[allow(async_fn_in_trait, reason = "called on one thread")]
+trait StoreReads: Clone + 'static {
+    async fn range(&self) -> Result<KeyRange, StoreError>;
+
+    async fn changes(
+        &self,
+        after: RevisionNumber,
+        limits: WatchLimits,
+    ) -> Result<WatchBatch, StoreError>;
+}
+
+/// A store that is only read.
+#[derive(Clone)]
+struct ReadStore<R>(R);
+
+impl<R: StoreReads> MetadataStore for ReadStore<R> {
+    async fn swap(&self, _: &SwapRequest) -> Result<SwapOutcome, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn grant_lease(&self, _: Duration) -> Result<StoreLease, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn renew_lease(&self, _: StoreLease) -> Result<bool, StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn revoke_lease(&self, _: StoreLease) -> Result<(), StoreError> {
+        panic!("the feed only reads")
+    }
+
+    async fn range(&self, _: &str) -> Result<KeyRange, StoreError> {
+        self.0.range().await
+    }
+
+    async fn changes(
+        &self,
+        _: &str,
+        after: RevisionNumber,
+        limits: WatchLimits,
+    ) -> Result<WatchBatch, StoreError> {
+        self.0.changes(after, limits).await
+    }
+}
+
+/// Starts a feed that reads from `store`; returns the receiver of its events.
+fn start_feed<R: StoreReads>(store: R) -> mpsc::Receiver<FeedEvent> {
+    let (events, received) = mpsc::channel(64);
+    let node_count = Rc::new(Cell::new(1));
+    let feed = StateFeed::new(ReadStore(store), VersionTranslator, BootClock, events, node_count);
+    tokio::task::spawn_local(feed.run());
+    received
+}
+
 /// Store whose answers cross a link that carries one version in [`TRANSFER_TIME`].
 #[derive(Clone, Default)]
 struct NarrowStore {
@@ -66,24 +122,8 @@
     }
 }
 
-impl MetadataStore for NarrowStore {
-    async fn swap(&self, _: &SwapRequest) -> Result<SwapOutcome, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn grant_lease(&self, _: Duration) -> Result<StoreLease, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn renew_lease(&self, _: StoreLease) -> Result<bool, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn revoke_lease(&self, _: StoreLease) -> Result<(), StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn range(&self, _: &str) -> Result<KeyRange, StoreError> {
+impl StoreReads for NarrowStore {
+    async fn range(&self) -> Result<KeyRange, StoreError> {
         let revision = self.written.get();
         let entry = Self::entry(revision);
         sleep(TRANSFER_TIME).await;
@@ -92,7 +132,6 @@
 
     async fn changes(
         &self,
-        _: &str,
         after: RevisionNumber,
         limits: WatchLimits,
     ) -> Result<WatchBatch, StoreError> {
@@ -147,10 +186,7 @@
 
 /// Returns the time from the last write of a storm until the feed reports that version.
 async fn apply_time(store: NarrowStore) -> Duration {
-    let (events, mut received) = mpsc::channel(64);
-    let node_count = Rc::new(Cell::new(1));
-    let feed = StateFeed::new(store.clone(), VersionTranslator, BootClock, events, node_count);
-    tokio::task::spawn_local(feed.run());
+    let mut received = start_feed(store.clone());
     for _ in 0..STORM_VERSIONS {
         store.write();
         sleep(WRITE_INTERVAL).await;
@@ -196,24 +232,8 @@
     }
 }
 
-impl MetadataStore for RestoredStore {
-    async fn swap(&self, _: &SwapRequest) -> Result<SwapOutcome, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn grant_lease(&self, _: Duration) -> Result<StoreLease, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn renew_lease(&self, _: StoreLease) -> Result<bool, StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn revoke_lease(&self, _: StoreLease) -> Result<(), StoreError> {
-        panic!("the feed only reads")
-    }
-
-    async fn range(&self, _: &str) -> Result<KeyRange, StoreError> {
+impl StoreReads for RestoredStore {
+    async fn range(&self) -> Result<KeyRange, StoreError> {
         let (revision, version) = self.content();
         let entries = vec![NarrowStore::entry(version)];
         Ok(KeyRange { entries, revision, era: self.era() })
@@ -221,7 +241,6 @@
 
     async fn changes(
         &self,
-        _: &str,
         after: RevisionNumber,
         limits: WatchLimits,
     ) -> Result<WatchBatch, StoreError> {
@@ -235,10 +254,7 @@
 /// Returns whether the feed reports the version that is in the restored store.
 async fn reports_restored_version() -> bool {
     let store = RestoredStore::default();
-    let (events, mut received) = mpsc::channel(64);
-    let node_count = Rc::new(Cell::new(1));
-    let feed = StateFeed::new(store.clone(), VersionTranslator, BootClock, events, node_count);
-    tokio::task::spawn_local(feed.run());
+    let mut received = start_feed(store.clone());
     let end = Instant::now() + Duration::from_secs(20);
     while let Ok(Some(event)) = timeout_at(end, received.recv()).await {
         let (FeedEvent::Snapshot { update, .. } | FeedEvent::Changes { update, .. }) = event else {
--- a/crates/apricotknot-gateway/tests/support/mod.rs
+++ b/crates/apricotknot-gateway/tests/support/mod.rs
@@ -3,10 +3,36 @@
 #[allow(dead_code, reason = "not every test plays limits")]
 pub(crate) mod rate_fleet;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::EndpointPhase;
+use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::RequestSize;
+use apricotknot_gateway::control::PlacementRequest;
+
+/// Returns the request `id` for the service `model`, which arrived at `now`.
+#[allow(dead_code, reason = "not every test places requests")]
+pub(crate) fn placement_request(id: u64, size: RequestSize, now: Duration) -> PlacementRequest {
+    PlacementRequest {
+        attempt: u128::from(id),
+        query: PlacementQuery {
+            service: "model".into(),
+            size,
+            regions: None,
+            excluded: Vec::new(),
+            arrived: now,
+            target_latency: Duration::from_millis(300),
+            pause_limit: Duration::from_millis(250),
+            deadline: now + Duration::from_secs(10),
+        },
+        is_retry: false,
+        may_wait: true,
+        fingerprint: id,
+        shared_parts: Arc::default(),
+    }
+}
 
 /// Returns the registration of the engine `index` with `slots` slots.
 pub(crate) fn engine_entry(index: usize, slots: u32) -> EndpointEntry {
--- a/crates/apricotknot-gateway/tests/support/rate_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/rate_fleet.rs
@@ -6,7 +6,6 @@
 
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::LoadSnapshot;
-use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::fleet::RetryPolicy;
@@ -20,7 +19,6 @@
 use apricotknot_gateway::control::FleetLimits;
 use apricotknot_gateway::control::NodeRecord;
 use apricotknot_gateway::control::PlacementRefusal;
-use apricotknot_gateway::control::PlacementRequest;
 use apricotknot_gateway::control::RegistryChange;
 use apricotknot_gateway::control::StoreUpdate;
 use apricotknot_gateway::protocol::RecordChange;
@@ -28,6 +26,7 @@
 use tokio::sync::oneshot;
 
 use super::engine_entry;
+use super::placement_request;
 
 /// Time at which each play begins.
 pub(crate) const START: Duration = Duration::from_secs(100);
@@ -107,7 +106,7 @@
     }
 
     fn request(&mut self, id: u64, now: Duration) -> PlacementReceiver {
-        let request = Box::new(placement_request(id, now));
+        let request = Box::new(placement_request(id, RequestSize::default(), now));
         let (reply, receiver) = oneshot::channel();
         self.state.handle_command(ControlCommand::Place { request, reply }, now);
         receiver
@@ -296,26 +295,6 @@
     PlayedNode { state, commands, waiting: Vec::new(), is_connected: true, has_callers: true }
 }
 
-fn placement_request(id: u64, now: Duration) -> PlacementRequest {
-    PlacementRequest {
-        attempt: u128::from(id),
-        query: PlacementQuery {
-            service: "model".into(),
-            size: RequestSize::default(),
-            regions: None,
-            excluded: Vec::new(),
-            arrived: now,
-            target_latency: Duration::from_millis(300),
-            pause_limit: Duration::from_millis(250),
-            deadline: now + Duration::from_secs(10),
-        },
-        is_retry: false,
-        may_wait: true,
-        fingerprint: id,
-        shared_parts: Arc::default(),
-    }
-}
-
 fn node_id(index: usize) -> String {
     format!("node-{index}")
 }
