soak: the key-value service comes back from an older copy

Two of eighteen faults take a copy of the stand-in, and bring it back 0.1 to 1.8 s later; what operators and endpoints wrote since is written again after 0.4 s. It overlaps with signals, outages, compaction and revoked keys.

--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -27,6 +27,7 @@
 
 use apricotknot_standin::users_platform::EndpointFault;
 use apricotknot_standin::users_platform::EndpointServer;
+use apricotknot_standin::users_platform::MetadataCopy;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -63,6 +64,9 @@
 /// Time between two signals of a series.
 const SIGNAL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time after the store came back from a copy until operators and endpoints write again.
+const REWRITE_DELAY: Duration = Duration::from_millis(400);
+
 /// Number of nodes.
 const NODE_COUNT: usize = 3;
 
@@ -89,6 +93,10 @@
     Signals(usize, usize),
     StoreDown,
     StoreCompacted,
+    /// The store comes back from the copy with this index, taken when the fault begins.
+    StoreRestored(usize),
+    /// Operators and endpoints have not written again what the store lost.
+    StoreOutdated,
     KeyRevoked,
 }
 
@@ -99,6 +107,8 @@
     proxies: Vec<FaultProxy>,
     log: Arc<SoakLog>,
     random: StdRng,
+    /// Copies of the store that it comes back from.
+    copies: Vec<MetadataCopy>,
     /// Faults in progress, with the times at which they end.
     active_faults: Vec<(Instant, SoakFault)>,
     started_at: Instant,
@@ -119,6 +129,7 @@
             proxies,
             log: Arc::new(log),
             random: StdRng::seed_from_u64(seed),
+            copies: Vec::new(),
             active_faults: Vec::new(),
             started_at: Instant::now(),
             history: Vec::new(),
@@ -175,7 +186,7 @@
             7 => EndpointFault::WrongRequestId,
             _ => EndpointFault::ServerError,
         };
-        let fault = match self.random.random_range(0..16) {
+        let fault = match self.random.random_range(0..18) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
             2 => SoakFault::LinkBlocked(proxy, LinkDirection::ToClient),
@@ -186,6 +197,7 @@
             10 => SoakFault::EndpointDraining(endpoint),
             11..14 => SoakFault::Signals(node, self.random.random_range(0..SIGNAL_SERIES.len())),
             14 => SoakFault::StoreDown,
+            15 | 16 => SoakFault::StoreRestored(self.copies.len()),
             _ if lock(&self.log.revoked_at).is_none() => SoakFault::KeyRevoked,
             _ => SoakFault::StoreCompacted,
         };
@@ -231,6 +243,8 @@
             },
             SoakFault::StoreDown => self.fleet.store.set_down(true),
             SoakFault::StoreCompacted => self.fleet.store.compact_history(),
+            SoakFault::StoreRestored(_) => self.copies.push(self.fleet.store.copy()),
+            SoakFault::StoreOutdated => {},
             SoakFault::KeyRevoked => {
                 self.fleet.configure(&[KEY]);
                 *lock(&self.log.revoked_at) = Some(Instant::now());
@@ -271,10 +285,29 @@
                 self.log.nodes[node].set_disturbed(false);
             },
             SoakFault::StoreDown => self.fleet.store.set_down(false),
+            SoakFault::StoreRestored(copy) => {
+                self.fleet.store.restore(self.copies[copy].clone());
+                let end = Instant::now() + REWRITE_DELAY;
+                self.active_faults.push((end, SoakFault::StoreOutdated));
+            },
+            SoakFault::StoreOutdated => self.write_again(),
             SoakFault::LinkReset(_) | SoakFault::StoreCompacted | SoakFault::KeyRevoked => {},
         }
     }
 
+    /// Writes what operators and endpoints have written and the store may have lost.
+    fn write_again(&self) {
+        let is_revoked = lock(&self.log.revoked_at).is_some();
+        let keys: &[&str] = if is_revoked { &[KEY] } else { &[KEY, REVOKED_KEY] };
+        self.fleet.write_configuration(keys);
+        for index in 0..4 {
+            let is_draining = self.active_faults.iter().any(|(_, fault)| {
+                matches!(fault, SoakFault::EndpointDraining(draining) if *draining == index)
+            });
+            self.announce(index, if is_draining { "draining" } else { "ready" });
+        }
+    }
+
     fn set_service_fault(&self, service: usize, endpoint_fault: EndpointFault) {
         for endpoint in [service * 2, service * 2 + 1] {
             self.endpoint(endpoint).set_fault(endpoint_fault);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -161,8 +161,12 @@
     /// Writes a new version of the configuration in which the client account has `keys`.
     pub(crate) fn configure(&mut self, keys: &[&str]) {
         self.version += 3;
-        let configuration = configuration(self.version, keys);
-        self.store.put("op/config", &configuration);
+        self.write_configuration(keys);
+    }
+
+    /// Writes the present version of the configuration, in which the client account has `keys`.
+    pub(crate) fn write_configuration(&self, keys: &[&str]) {
+        self.store.put("op/config", &configuration(self.version, keys));
     }
 
     fn start_node(&self, name: &str, index: usize, limits: &str) -> Node {
