fleet: the interval of a share is rounded up

Found by reading: a window divided by a share was cut to whole nanoseconds, so three intervals of a share of three ended 1 ns before the window, and a fourth request fitted in. fleet_limits::intervals_of_a_share_never_fit_into_a_window_once_more_than_it_ allows failed before (3 in 4 s at intervals of 1.333333333 s).

--- a/crates/apricotknot-core/src/fleet/shared_rate.rs
+++ b/crates/apricotknot-core/src/fleet/shared_rate.rs
@@ -47,7 +47,9 @@
         let (equal, rest) = (permits / position.count, permits % position.count);
         let share = equal + usize::from(position.index < rest);
         let share = if share == 0 { usize::from(position.index < rest + extra) } else { share };
-        let share = u32::try_from(share).unwrap_or(u32::MAX);
-        (share > 0).then(|| self.window / share)
+        let window = u64::try_from(self.window.as_nanos()).unwrap_or(u64::MAX);
+        let share = u64::try_from(share).unwrap_or(u64::MAX);
+        // Rounded up: a shorter interval would let one more request into a window.
+        (share > 0).then(|| Duration::from_nanos(window.div_ceil(share)))
     }
 }
--- a/crates/apricotknot-core/tests/fleet_limits.rs
+++ b/crates/apricotknot-core/tests/fleet_limits.rs
@@ -5,6 +5,7 @@
 use apricotknot_core::fleet::CrashHistory;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::NodeOrder;
+use apricotknot_core::fleet::NodePosition;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::SharedRate;
@@ -83,6 +84,16 @@
     intervals.map(|interval| RateNode { interval, last_sent: None }).collect()
 }
 
+#[test]
+fn intervals_of_a_share_never_fit_into_a_window_once_more_than_it_allows() {
+    for permits in 1..200_u32 {
+        let window = Duration::from_secs(4);
+        let rate = SharedRate::new(f64::from(permits) / 4.0, window);
+        let interval = rate.interval(NodePosition { index: 0, count: 1 }, 0).unwrap_or_default();
+        assert!(interval * permits >= window, "{permits} in 4 s at intervals of {interval:?}");
+    }
+}
+
 // Guards against a floor of one request for each node, whatever the rate is.
 #[test]
 fn requests_of_all_nodes_stay_within_a_shared_rate() {
