control: logs what is held after a restore, and when an evacuation is given up

A line for each full reading that was compared, with the evacuations that stay and the registrations that are ignored, and one for an evacuation whose hold ends.

--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -30,6 +30,7 @@
 pub use registry::NodeRegistry;
 pub use registry::RegistryChange;
 pub use request_quarantine::QuarantineNotice;
+pub use restore_hold::HoldNotice;
 pub use runner::ControlParts;
 pub use runner::start_control;
 pub use shared::SharedState;
--- a/crates/apricotknot-gateway/src/control/restore_hold.rs
+++ b/crates/apricotknot-gateway/src/control/restore_hold.rs
@@ -11,6 +11,8 @@
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
+use crate::protocol::RecordChange;
+
 /// Time for which a node keeps what the service has lost, unless it is written again before.
 const HOLD_TIME: Duration = Duration::from_secs(30);
 
@@ -20,6 +22,20 @@
 /// Maximum removed endpoints that are remembered.
 const MAX_REMOVED: usize = 4_096;
 
+/// Reports a decision on what a key-value service that came back from a copy lacks, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HoldNotice {
+    /// A full reading was compared with what the node knows.
+    Compared {
+        /// Data centres that stay evacuated without a record.
+        held_evacuations: usize,
+        /// Registrations that are older than what the node knows, and ignored.
+        ignored_registrations: usize,
+    },
+    /// The hold of an evacuation has ended, as its record was not written again.
+    EvacuationEnded(DataCentreId),
+}
+
 /// A lifetime of an endpoint that has ended.
 #[derive(Clone, Copy, Debug)]
 struct RemovedEndpoint {
@@ -35,6 +51,8 @@
     removed: BTreeMap<EndpointId, RemovedEndpoint>,
     /// Evacuated data centres that the service has lost.
     evacuated: BTreeSet<DataCentreId>,
+    /// Notices that were not taken yet.
+    notices: Vec<HoldNotice>,
 }
 
 impl RestoreHold {
@@ -66,13 +84,33 @@
         self.evacuated.remove(centre);
     }
 
+    /// Removes the registrations that are older than what the node knows from a full reading.
+    pub(super) fn remove_outdated(&mut self, records: &mut Vec<RecordChange>, fleet: &FleetState) {
+        let before = records.len();
+        records.retain(|record| match record {
+            RecordChange::EndpointAnnounced(entry) => !self.is_outdated(entry, fleet),
+            _ => true,
+        });
+        self.notices.push(HoldNotice::Compared {
+            held_evacuations: self.evacuated.len(),
+            ignored_registrations: before - records.len(),
+        });
+    }
+
     /// Ends the hold if its time is over; returns the data centres that it kept evacuated.
     pub(super) fn expire(&mut self, now: MonotonicTime) -> BTreeSet<DataCentreId> {
         if self.is_active(now) {
             return BTreeSet::new();
         }
         self.held_until = None;
-        std::mem::take(&mut self.evacuated)
+        let ended = std::mem::take(&mut self.evacuated);
+        self.notices.extend(ended.iter().cloned().map(HoldNotice::EvacuationEnded));
+        ended
+    }
+
+    /// Takes the notices since the last call.
+    pub(super) fn take_notices(&mut self) -> Vec<HoldNotice> {
+        std::mem::take(&mut self.notices)
     }
 }
 
@@ -84,7 +122,7 @@
 
     /// Returns whether a registration is older than what the node knows of the endpoint: of an
     /// earlier start, from before it was removed, or from before it said that it leaves.
-    pub(super) fn is_outdated(&self, entry: &EndpointEntry, fleet: &FleetState) -> bool {
+    fn is_outdated(&self, entry: &EndpointEntry, fleet: &FleetState) -> bool {
         let removed = self.removed.get(&entry.id);
         if removed.is_some_and(|removed| entry.incarnation <= removed.incarnation) {
             return true;
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -31,6 +31,7 @@
 use super::ControlState;
 use super::FeedEvent;
 use super::FleetLimits;
+use super::HoldNotice;
 use super::NodeRecord;
 use super::SharedState;
 use super::StateFeed;
@@ -235,6 +236,7 @@
             self.state.tick(self.clock.now());
             self.publish_notices();
             self.log_rate_changes();
+            self.log_hold_notices();
             self.keep_lost_configuration();
             self.send_snapshot();
             self.record_load(kind, woken);
@@ -306,6 +308,24 @@
         }
     }
 
+    /// Logs what is kept although the key-value service lacks it, and what is not any more.
+    fn log_hold_notices(&mut self) {
+        for notice in self.state.take_hold_notices() {
+            match notice {
+                HoldNotice::Compared { held_evacuations, ignored_registrations } => info!(
+                    self.logger, "control: restored content compared; keeping what is newer";
+                    "held_evacuations" => held_evacuations,
+                    "ignored_registrations" => ignored_registrations
+                ),
+                HoldNotice::EvacuationEnded(centre) => warn!(
+                    self.logger,
+                    "control: evacuation was not written again; using the data centre";
+                    "data_centre" => %centre
+                ),
+            }
+        }
+    }
+
     /// Records the load of the loop, and logs an interval in which the thread was overloaded.
     fn record_load(&mut self, kind: InputKind, woken: MonotonicTime) {
         let Some(report) = self.load.record(kind, woken, self.clock.now()) else {
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -26,6 +26,7 @@
 
 use super::ControlCommand;
 use super::ControlHandle;
+use super::HoldNotice;
 use super::NodeRegistry;
 use super::QuarantineNotice;
 use super::kept_configuration::KeptConfiguration;
@@ -181,6 +182,11 @@
         self.quarantine.take_notices()
     }
 
+    /// Takes the notices of what is held after the key-value service came back from a copy.
+    pub fn take_hold_notices(&mut self) -> Vec<HoldNotice> {
+        self.restore_hold.take_notices()
+    }
+
     /// Takes the changes of endpoints' limits since the last call.
     pub fn take_rate_changes(&mut self) -> Vec<RateChange> {
         std::mem::take(&mut self.rate_changes)
--- a/crates/apricotknot-gateway/src/control/state/store_updates.rs
+++ b/crates/apricotknot-gateway/src/control/state/store_updates.rs
@@ -42,11 +42,7 @@
         });
         self.registry.retain(&present.collect::<Vec<_>>(), now);
         if self.restore_hold.is_active(now) {
-            let (hold, fleet) = (&self.restore_hold, &self.fleet);
-            update.record_changes.retain(|record| match record {
-                RecordChange::EndpointAnnounced(entry) => !hold.is_outdated(entry, fleet),
-                _ => true,
-            });
+            self.restore_hold.remove_outdated(&mut update.record_changes, &self.fleet);
         } else {
             self.quarantine.retain_recorded(&update.registry_changes);
         }
--- a/crates/apricotknot-gateway/tests/restored_state.rs
+++ b/crates/apricotknot-gateway/tests/restored_state.rs
@@ -8,6 +8,7 @@
 
 use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::EndpointPhase;
+use apricotknot_gateway::control::HoldNotice;
 use apricotknot_gateway::control::NodeRecord;
 use apricotknot_gateway::control::RegistryChange;
 use apricotknot_gateway::control::StoreUpdate;
@@ -51,6 +52,9 @@
     assert!(node.state.fleet().is_evacuated("north"));
     node.process_commands(NOW + Duration::from_secs(31));
     assert!(!node.state.fleet().is_evacuated("north"));
+    let compared = HoldNotice::Compared { held_evacuations: 1, ignored_registrations: 0 };
+    let ended = HoldNotice::EvacuationEnded("north".into());
+    assert_eq!(node.state.take_hold_notices(), [compared, ended]);
     node.state.apply_changes(update_of(vec![evacuated.clone()]), NOW);
     node.state.apply_snapshot(restored_update(content), NOW);
     node.state.apply_changes(update_of(vec![evacuated]), NOW + Duration::from_secs(3));
