gateway: nodes spread what they write again over a time that grows with their number

Now 10 ms a node, 0.6 s at least, so some 300 writes a second, and the first two nodes record parts.

--- a/crates/apricotknot-gateway/src/control/announcer.rs
+++ b/crates/apricotknot-gateway/src/control/announcer.rs
@@ -1,5 +1,6 @@
 //! Announces a node in the key-value service while it runs.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,10 +33,11 @@
 /// Length of the peer secret, in bytes.
 const SECRET_BYTES: usize = 32;
 
-/// Longest delay until the records of a node are written again after the service lost them.
-///
-/// The nodes spread their calls over this time.
-const MAX_REWRITE_DELAY: Duration = Duration::from_millis(600);
+/// Shortest time over which the nodes spread their calls after the service lost their records.
+const MIN_REWRITE_TIME: Duration = Duration::from_millis(600);
+
+/// Time by which each node lengthens it; the service takes a limited number of writes per second.
+const REWRITE_TIME_PER_NODE: Duration = Duration::from_millis(10);
 
 /// Signals to the announcer from the control thread's other tasks.
 #[derive(Debug, Default)]
@@ -46,6 +48,8 @@
     pub(super) restored: Notify,
     /// Secret that the nodes share, once it was read.
     pub(super) secret: RefCell<Option<Vec<u8>>>,
+    /// Number of nodes that are known.
+    pub(super) node_count: Rc<Cell<usize>>,
 }
 
 /// Why the announcer no longer renews a lease.
@@ -142,7 +146,8 @@
             tokio::select! {
                 () = self.signals.stop.notified() => return LeaseEnd::Stopped,
                 () = self.signals.restored.notified() => {
-                    tokio::time::sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
+                    let delay = rewrite_time(self.signals.node_count.get());
+                    tokio::time::sleep(delay.mul_f64(rand::random())).await;
                     return LeaseEnd::Lost;
                 },
                 () = tokio::time::sleep(RENEW_INTERVAL) => {},
@@ -171,3 +176,9 @@
         }
     }
 }
+
+/// Returns the time over which `node_count` nodes spread their calls.
+fn rewrite_time(node_count: usize) -> Duration {
+    let node_count = u32::try_from(node_count).unwrap_or(u32::MAX);
+    REWRITE_TIME_PER_NODE.saturating_mul(node_count).max(MIN_REWRITE_TIME)
+}
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -100,9 +100,10 @@
         self.nodes.len().max(1)
     }
 
-    /// Returns the number of nodes whose names come before `own`.
+    /// Returns the number of announced nodes whose names come before `own`.
     pub fn index_of(&self, own: &str) -> usize {
-        self.nodes.keys().filter(|node| &***node < own).count()
+        let announced = self.nodes.iter().filter(|(_, known)| known.removed_at.is_none());
+        announced.filter(|(node, _)| &***node < own).count()
     }
 
     /// Returns the names of the nodes among which shared limits are divided.
--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -18,15 +18,17 @@
         let (newest, as_of) = match event {
             FeedEvent::Snapshot { update, as_of } => {
                 self.log_reachable_again(now);
-                if update.is_restored {
-                    self.write_records_again();
-                }
+                let is_restored = update.is_restored;
                 info!(
                     self.logger, "control: store snapshot read";
                     "records" => update.record_changes.len(),
                     "nodes" => update.registry_changes.len()
                 );
-                (self.state.apply_snapshot(update, now), as_of)
+                let newest = self.state.apply_snapshot(update, now);
+                if is_restored {
+                    self.write_records_again();
+                }
+                (newest, as_of)
             },
             FeedEvent::Changes { update, as_of, delivery: arrived } => {
                 delivery = arrived;
@@ -87,7 +89,7 @@
     /// Writes the node's own records again, as the key-value service may have lost them.
     fn write_records_again(&self) {
         self.announcer_signals.restored.notify_one();
-        for part in self.state.quarantined_parts() {
+        for part in self.state.parts_to_record_again() {
             self.record_part(part);
         }
     }
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -168,7 +168,10 @@
         actix_rt::spawn(state_feed.run());
         let record = NodeRecord { address: parts.peer_address, incarnation: parts.incarnation };
         let logger = parts.logger.clone();
-        let announcer_signals = Rc::new(AnnouncerSignals::default());
+        let announcer_signals = Rc::new(AnnouncerSignals {
+            node_count: Rc::clone(&node_count),
+            ..AnnouncerSignals::default()
+        });
         let (keeper, kept_records) = mpsc::channel(KEEPER_CAPACITY);
         let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
         actix_rt::spawn(record_keeper.run());
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -43,6 +43,9 @@
 /// Longest interval between two passes over the waiting requests.
 const MAX_PLACEMENT_INTERVAL: Duration = Duration::from_millis(90);
 
+/// Number of nodes that record quarantined prompt parts again; one alone may just be ending.
+const RECORDING_NODES: usize = 2;
+
 /// Interval at which the nodes that share limits are counted.
 const NODE_COUNT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -245,9 +248,11 @@
         version.is_none_or(|version| self.kept_configuration.is_confirmed(version, now))
     }
 
-    /// Returns the prompt parts that this node knows to be recorded as quarantined.
-    pub fn quarantined_parts(&self) -> Vec<PromptPartId> {
-        self.quarantine.recorded_parts()
+    /// Returns the quarantined prompt parts that this node records again if the key-value service
+    /// has lost them; few nodes do so for all.
+    pub fn parts_to_record_again(&self) -> Vec<PromptPartId> {
+        let is_recorder = self.registry.index_of(&self.node) < RECORDING_NODES;
+        if is_recorder { self.quarantine.recorded_parts() } else { Vec::new() }
     }
 
     /// Returns since when the key-value service is unreachable, or `None` if it is reachable.
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -20,6 +20,7 @@
 use apricotknot_gateway::control::ControlState;
 use apricotknot_gateway::control::EndpointGrant;
 use apricotknot_gateway::control::FleetLimits;
+use apricotknot_gateway::control::NodeRecord;
 use apricotknot_gateway::control::PlacementRequest;
 use apricotknot_gateway::control::RegistryChange;
 use apricotknot_gateway::control::StoreUpdate;
@@ -250,3 +251,19 @@
     assert!(node.place(&bad, START).is_none());
     assert!(node.place(&TestRequest::new(1, 0, START), START).is_some());
 }
+
+#[test]
+fn few_nodes_record_quarantined_parts_again() {
+    let recorders = ["a", "b", "c", "d"].into_iter().filter(|name| {
+        let mut node = TestNode::new(name);
+        let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
+        let nodes = ["a", "b", "c", "d"]
+            .map(|name| RegistryChange::NodeAnnounced(name.into(), record.clone()));
+        let registry_changes = [RegistryChange::PartQuarantined(BAD)].into_iter().chain(nodes);
+        let registry_changes = registry_changes.collect();
+        let update = StoreUpdate { registry_changes, ..StoreUpdate::default() };
+        node.state.apply_changes(update, START);
+        node.state.parts_to_record_again() == [BAD]
+    });
+    assert_eq!(recorders.count(), 2);
+}
