soak: endpoints that name a rate limit

Two of twenty faults make an endpoint name 2.5 requests a second for 0.1 to 1.8 s; every node has to serve all kinds of calls again afterwards, so each limit has to end.

--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -64,6 +64,9 @@
 /// Time between two signals of a series.
 const SIGNAL_PAUSE: Duration = Duration::from_millis(60);
 
+/// Rate of requests, in requests per second, that a limited endpoint names.
+const NAMED_RATE_LIMIT: &str = "2.5";
+
 /// Time after the store came back from a copy until operators and endpoints write again.
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 
@@ -89,6 +92,8 @@
     /// The same fault at both endpoints of a service.
     Service(usize, EndpointFault),
     EndpointDraining(usize),
+    /// The endpoint names [`NAMED_RATE_LIMIT`] in its answers.
+    RateLimited(usize),
     /// Node, and index into [`SIGNAL_SERIES`].
     Signals(usize, usize),
     StoreDown,
@@ -186,7 +191,7 @@
             7 => EndpointFault::WrongRequestId,
             _ => EndpointFault::ServerError,
         };
-        let fault = match self.random.random_range(0..18) {
+        let fault = match self.random.random_range(0..20) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
             2 => SoakFault::LinkBlocked(proxy, LinkDirection::ToClient),
@@ -198,6 +203,7 @@
             11..14 => SoakFault::Signals(node, self.random.random_range(0..SIGNAL_SERIES.len())),
             14 => SoakFault::StoreDown,
             15 | 16 => SoakFault::StoreRestored(self.copies.len()),
+            17 | 18 => SoakFault::RateLimited(endpoint),
             _ if lock(&self.log.revoked_at).is_none() => SoakFault::KeyRevoked,
             _ => SoakFault::StoreCompacted,
         };
@@ -234,6 +240,9 @@
                 self.set_service_fault(service, endpoint_fault)
             },
             SoakFault::EndpointDraining(endpoint) => self.announce(endpoint, "draining"),
+            SoakFault::RateLimited(endpoint) => {
+                self.endpoint(endpoint).set_rate_limit(Some(NAMED_RATE_LIMIT));
+            },
             SoakFault::Signals(node, series) => {
                 self.log.nodes[node].set_disturbed(true);
                 for signal in SIGNAL_SERIES[series] {
@@ -277,6 +286,7 @@
                 self.set_service_fault(service, EndpointFault::None);
             },
             SoakFault::EndpointDraining(endpoint) => self.announce(endpoint, "ready"),
+            SoakFault::RateLimited(endpoint) => self.endpoint(endpoint).set_rate_limit(None),
             SoakFault::Signals(node, series) => {
                 match SIGNAL_SERIES[series] {
                     ["-STOP"] => self.fleet.nodes[node].signal("-CONT"),
