reading the diff: plain names for versions and turns, an example of a shared rate

Read once more as somebody who joins. Two things had one name: the type that compares versions of the configuration is ConfigurationVersions now, as KeptConfiguration is the record that a node keeps. RateTurn stands in a file of its name, and SharedRate has an example with 8 and 71 nodes. No behaviour changes.

--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -19,7 +19,7 @@
 use super::prompt_split::PlacementCandidate;
 use super::prompt_split::ScoredPlan;
 use super::prompt_split::best_plan;
-use super::rate_wait::wait_for_rate;
+use super::rate_turn::wait_for_rate;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::RegionId;
--- a/crates/apricotknot-core/src/fleet/rate_wait.rs
+++ b/crates/apricotknot-core/src/fleet/rate_turn.rs
@@ -1,4 +1,4 @@
-//! Waiting for endpoints all of which limit their request rate.
+//! Turns of a node at endpoints whose request rate is limited, and the wait for the next one.
 
 use std::time::Duration;
 
--- a/crates/apricotknot-core/src/fleet/shared_rate.rs
+++ b/crates/apricotknot-core/src/fleet/shared_rate.rs
@@ -10,6 +10,9 @@
 /// more than the rate allows. Where there are fewer of them than nodes, only the first nodes in the
 /// order of the endpoint send any. Nodes need not communicate; those that disagree on one node
 /// exceed the rate by at most one request in each window.
+///
+/// For example, 2.1 requests per second leave 8 in a window of 4 s. Each of 8 nodes sends one of them;
+/// of 71 nodes, the first 8 send one each, and the others none.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SharedRate {
     per_second: f64,
--- a/crates/apricotknot-core/src/fleet/stated_rate.rs
+++ b/crates/apricotknot-core/src/fleet/stated_rate.rs
@@ -19,7 +19,7 @@
 
 /// Number of windows without any statement after which a further node asks the endpoint, in each
 /// window one more.
-const SILENT_WINDOWS: u32 = 2;
+const SILENT_WINDOWS: usize = 2;
 
 /// Time by which a statement must be newer than one of another node to replace it.
 ///
@@ -83,7 +83,7 @@
     pub fn extra_askers(&self, rate: &SharedRate, now: MonotonicTime) -> usize {
         let silence = now.saturating_sub(self.stated_at).as_secs_f64();
         let windows = (silence / rate.window().as_secs_f64()) as usize;
-        windows.saturating_sub(SILENT_WINDOWS as usize)
+        windows.saturating_sub(SILENT_WINDOWS)
     }
 
     /// Returns whether other nodes are told of this statement at `now`.
--- a/crates/apricotknot-gateway/src/control/announcer.rs
+++ b/crates/apricotknot-gateway/src/control/announcer.rs
@@ -86,7 +86,10 @@
             self.create_secret().await;
             match self.announce().await {
                 Ok(lease) => {
-                    info!(self.logger, "registry: node announced"; "lease" => lease.id, "era" => lease.era);
+                    info!(
+                        self.logger, "registry: node announced";
+                        "lease" => lease.id, "era" => lease.era
+                    );
                     if let LeaseEnd::Stopped = self.keep_lease_alive(lease).await {
                         return self.withdraw(lease).await;
                     }
--- a/crates/apricotknot-gateway/src/control/kept_configuration.rs
+++ b/crates/apricotknot-gateway/src/control/configuration_versions.rs
@@ -1,4 +1,4 @@
-//! Decides when a node writes the configuration in force to the key-value service.
+//! Versions of the configuration that the key-value service holds, against the one in force.
 
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 /// A service that came back from a copy may hold an older version than nodes have in force. They
 /// keep theirs and write it to the service, so that nodes which start then use it too.
 #[derive(Debug, Default)]
-pub(super) struct KeptConfiguration {
+pub(super) struct ConfigurationVersions {
     /// Version that operators have written, as last read.
     operator_version: Option<u64>,
     /// Newest version that a node has written, as last read.
@@ -31,7 +31,7 @@
     write_at: Option<MonotonicTime>,
 }
 
-impl KeptConfiguration {
+impl ConfigurationVersions {
     /// Records the version that operators have written.
     pub(super) fn set_operator_version(&mut self, version: u64) {
         self.operator_version = Some(version);
@@ -63,7 +63,7 @@
     }
 }
 
-impl KeptConfiguration {
+impl ConfigurationVersions {
     /// Returns whether the service confirms at `now` that the version `in_force` is the newest one.
     pub(super) fn is_confirmed(&self, in_force: u64, now: MonotonicTime) -> bool {
         let may_rewrite = self.restored_at.is_some_and(|restored| now < restored + REWRITE_GRACE);
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -2,9 +2,9 @@
 
 mod announcer;
 mod command;
+mod configuration_versions;
 mod feed;
 mod handle;
-mod kept_configuration;
 mod loop_load;
 mod record_keeper;
 mod registry;
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -29,7 +29,7 @@
 use super::HoldNotice;
 use super::NodeRegistry;
 use super::QuarantineNotice;
-use super::kept_configuration::KeptConfiguration;
+use super::configuration_versions::ConfigurationVersions;
 use super::request_quarantine::RequestQuarantine;
 use super::restore_hold::RestoreHold;
 use super::wait_queue::WaitQueue;
@@ -86,7 +86,7 @@
     /// announce themselves again.
     missing_until: BTreeMap<EndpointId, MonotonicTime>,
     restore_hold: RestoreHold,
-    kept_configuration: KeptConfiguration,
+    configuration_versions: ConfigurationVersions,
 }
 
 impl ControlState {
@@ -119,7 +119,7 @@
             store_reachable_since: None,
             missing_until: BTreeMap::new(),
             restore_hold: RestoreHold::default(),
-            kept_configuration: KeptConfiguration::default(),
+            configuration_versions: ConfigurationVersions::default(),
         }
     }
 
@@ -245,7 +245,7 @@
     /// write it again.
     pub fn is_configuration_confirmed(&self, now: MonotonicTime) -> bool {
         let version = self.desired.as_ref().map(|desired| desired.version);
-        version.is_none_or(|version| self.kept_configuration.is_confirmed(version, now))
+        version.is_none_or(|version| self.configuration_versions.is_confirmed(version, now))
     }
 
     /// Returns the quarantined prompt parts that this node records again if the key-value service
--- a/crates/apricotknot-gateway/src/control/state/store_updates.rs
+++ b/crates/apricotknot-gateway/src/control/state/store_updates.rs
@@ -54,7 +54,7 @@
         // Endpoints announce themselves again, as after an outage.
         self.store_reachable_since = Some(now);
         self.restore_hold.begin(now);
-        self.kept_configuration.record_restored(self.registry.index_of(&self.node), now);
+        self.configuration_versions.record_restored(self.registry.index_of(&self.node), now);
     }
 
     /// Removes the endpoints that a complete snapshot does not contain.
@@ -136,11 +136,11 @@
     ) -> Option<Arc<DesiredState>> {
         match record {
             RecordChange::Configuration(desired) => {
-                self.kept_configuration.set_operator_version(desired.version);
+                self.configuration_versions.set_operator_version(desired.version);
                 return self.apply_configuration(*desired);
             },
             RecordChange::KeptConfiguration(desired) => {
-                self.kept_configuration.set_kept_version(desired.version);
+                self.configuration_versions.set_kept_version(desired.version);
                 return self.apply_configuration(*desired);
             },
             RecordChange::EndpointAnnounced(entry) => {
@@ -221,6 +221,6 @@
     /// which has lost it.
     pub fn take_lost_configuration(&mut self, now: MonotonicTime) -> Option<Arc<DesiredState>> {
         let desired = self.desired.as_ref()?;
-        self.kept_configuration.take_write(desired.version, now).then(|| Arc::clone(desired))
+        self.configuration_versions.take_write(desired.version, now).then(|| Arc::clone(desired))
     }
 }
