--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -10,6 +10,7 @@
 use super::PartAnswerReport;
 use super::PartCrashReport;
 use super::RateReport;
+use super::RelayedSnapshot;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -99,6 +100,9 @@
     /// What endpoints stated about their request rates; sent in a section of its own.
     #[serde(skip)]
     pub rates: Vec<RateReport>,
+    /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
+    #[serde(skip)]
+    pub relayed: Vec<RelayedSnapshot>,
 }
 
 fn saturating_u32(value: impl TryInto<u32>) -> u32 {
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! The state of all endpoints as one node knows it, and the placement of requests on them.
 //!
-//! Each node sends all others snapshots of its work in progress ([`LoadSnapshot`]) and decides on
-//! its own from the snapshots that it received. So no request waits for another node, and the
+//! Snapshots of each node's work in progress ([`LoadSnapshot`]) reach all others, and each node
+//! decides on its own from the snapshots that it received. So no request waits for another node, and the
 //! failure of a node blocks no decision.
 
 mod crash_history;
@@ -18,6 +18,7 @@
 mod placement;
 mod prompt_split;
 mod rate_turn;
+mod relayed_snapshot;
 mod retry_limiter;
 mod shared_rate;
 mod stated_rate;
@@ -50,6 +51,7 @@
 pub use placement::QueuePosition;
 pub use placement::place;
 pub use rate_turn::RateTurn;
+pub use relayed_snapshot::RelayedSnapshot;
 pub use retry_limiter::RetryLimiter;
 pub use retry_limiter::RetryPolicy;
 pub use shared_rate::SharedRate;
--- a/crates/apricotknot-core/src/membership/hash.rs
+++ b/crates/apricotknot-core/src/membership/hash.rs
@@ -7,7 +7,7 @@
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Returns the FNV-1a hash of `text`, seeded with `seed` and finalised by [`mix`].
-pub(crate) fn hash_text(seed: u64, text: &str) -> u64 {
+pub fn hash_text(seed: u64, text: &str) -> u64 {
     let mut state = FNV_OFFSET_BASIS ^ mix(seed);
     for byte in text.bytes() {
         state = (state ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
--- a/crates/apricotknot-core/src/membership/mod.rs
+++ b/crates/apricotknot-core/src/membership/mod.rs
@@ -50,4 +50,4 @@
 pub use table::OwnStatus;
 pub use table::PeerTarget;
 
-pub(crate) use hash::hash_text;
+pub use hash::hash_text;
--- a/crates/apricotknot-gateway/src/control/loop_load.rs
+++ b/crates/apricotknot-gateway/src/control/loop_load.rs
@@ -15,8 +15,8 @@
 pub(super) enum InputKind {
     /// Commands of traffic threads.
     Commands(usize),
-    /// A load snapshot of another node.
-    Datagram,
+    /// Datagrams of other nodes.
+    Datagrams(usize),
     /// An event of the feed, or the end of the tick interval.
     Other,
 }
@@ -30,7 +30,7 @@
     pub(super) busy: Duration,
     /// Commands handled.
     pub(super) commands: usize,
-    /// Load snapshots of other nodes received.
+    /// Datagrams of other nodes received.
     pub(super) datagrams: usize,
 }
 
@@ -56,7 +56,7 @@
         self.busy += now.saturating_sub(woken);
         match kind {
             InputKind::Commands(count) => self.commands += count,
-            InputKind::Datagram => self.datagrams += 1,
+            InputKind::Datagrams(count) => self.datagrams += count,
             InputKind::Other => {},
         }
         let length = now.saturating_sub(self.began);
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::PromptPartId;
+use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peers::SnapshotPeer;
+
 /// Prefix of the keys under which nodes announce themselves.
 const NODE_PREFIX: &str = "apricotknot/nodes/";
 
@@ -35,6 +38,9 @@
     pub address: SocketAddr,
     /// Incarnation of the node.
     pub incarnation: u64,
+    /// Data centre that the node runs in; earlier versions do not write it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub data_centre: Option<DataCentreId>,
 }
 
 /// Change of one of the gateway's own keys.
@@ -117,10 +123,14 @@
         announced.next().is_some_and(|(node, _)| &**node == own)
     }
 
-    /// Returns the addresses of all nodes except `own`.
-    pub fn peer_addresses<'a>(&'a self, own: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
+    /// Returns the nodes that get load snapshots: all except `own`, also those that left lately.
+    pub fn snapshot_peers<'a>(&'a self, own: &'a str) -> impl Iterator<Item = SnapshotPeer> + 'a {
         let others = self.nodes.iter().filter(move |(node, _)| &***node != own);
-        others.map(|(_, known)| known.record.address)
+        others.map(|(node, known)| SnapshotPeer {
+            node: NodeId::clone(node),
+            address: known.record.address,
+            data_centre: known.record.data_centre.clone(),
+        })
     }
 }
 
--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -76,11 +76,12 @@
             self.shared.set_desired(desired);
         }
         self.node_count.set(self.state.registry().count());
+        self.peers.update_peers(&self.state);
         if self.state.is_configuration_confirmed(now) {
             self.shared.confirm_as_of(as_of);
         }
         if let Some(secret) = self.state.secret()
-            && self.seals.set_secret(secret)
+            && self.peers.set_secret(secret)
         {
             self.announcer_signals.secret.replace(Some(secret.to_vec()));
         }
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -2,6 +2,7 @@
 //! effects.
 
 mod feed_events;
+mod peer_exchange;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -21,11 +22,11 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use self::peer_exchange::PeerExchange;
 use super::ControlCommand;
 use super::ControlHandle;
 use super::ControlState;
@@ -46,7 +47,6 @@
 use super::registry::part_key;
 use crate::clock::BootClock;
 use crate::clock::millis;
-use crate::peers::PeerSeals;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -56,9 +56,6 @@
 /// Interval between two ticks of the state while no request waits.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 
-/// Longest interval between two snapshots to other nodes; changes are sent immediately.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Longest time that the thread waits at its end for the node to be withdrawn.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -68,15 +65,14 @@
 /// Most commands that are handled before the other inputs are polled again.
 const COMMAND_BATCH: usize = 64;
 
-/// Largest datagram that can be received, in bytes.
-const DATAGRAM_BYTES: usize = 16 * 1_024;
-
 /// Holds the settings and the dependencies of the control thread.
 pub struct ControlParts<S, T> {
     /// Name of the node.
     pub node: NodeId,
     /// Incarnation of the node.
     pub incarnation: u64,
+    /// Data centre that the node runs in.
+    pub data_centre: DataCentreId,
     /// Address at which the node receives load snapshots, over UDP.
     pub peer_address: SocketAddr,
     /// Region of each data centre.
@@ -128,21 +124,17 @@
 
 struct ControlRunner {
     state: ControlState,
-    node: NodeId,
     clock: BootClock,
     commands: mpsc::UnboundedReceiver<ControlCommand>,
     feed_events: mpsc::Receiver<FeedEvent>,
     /// Number of nodes; the feed reads it.
     node_count: Rc<Cell<usize>>,
-    socket: UdpSocket,
+    peers: PeerExchange,
     /// Task that keeps the node announced until it is told to stop.
     announcer_task: JoinHandle<()>,
     announcer_signals: Rc<AnnouncerSignals>,
-    seals: PeerSeals,
     shared: Arc<SharedState>,
     logger: Logger,
-    snapshot_sent_at: MonotonicTime,
-    has_unsent_changes: bool,
     load: LoopLoad,
     /// Sends records to the task that writes them to the key-value service.
     keeper: mpsc::Sender<KeptRecord>,
@@ -155,7 +147,13 @@
         commands: mpsc::UnboundedReceiver<ControlCommand>,
     ) -> io::Result<Self> {
         let clock = BootClock;
-        let socket = UdpSocket::bind(parts.peer_address).await?;
+        let peers = PeerExchange::bind(
+            parts.peer_address,
+            Arc::clone(&parts.node),
+            Arc::clone(&parts.data_centre),
+            parts.logger.clone(),
+        )
+        .await?;
         let (events, feed_events) = mpsc::channel(FEED_CAPACITY);
         let node_count = Rc::new(Cell::new(1));
         let state_feed = StateFeed::new(
@@ -166,7 +164,11 @@
             Rc::clone(&node_count),
         );
         actix_rt::spawn(state_feed.run());
-        let record = NodeRecord { address: parts.peer_address, incarnation: parts.incarnation };
+        let record = NodeRecord {
+            address: parts.peer_address,
+            incarnation: parts.incarnation,
+            data_centre: Some(parts.data_centre),
+        };
         let logger = parts.logger.clone();
         let announcer_signals = Rc::new(AnnouncerSignals {
             node_count: Rc::clone(&node_count),
@@ -183,24 +185,19 @@
             logger,
         );
         let announcer_task = actix_rt::spawn(announcer.run());
-        let node = Arc::clone(&parts.node);
         let state =
             ControlState::new(handle, parts.node, parts.incarnation, parts.regions, parts.limits);
         Ok(Self {
             state,
-            node,
             clock,
             commands,
             feed_events,
-            socket,
+            peers,
             node_count,
             announcer_task,
             announcer_signals,
-            seals: PeerSeals::default(),
             shared: parts.shared,
             logger: parts.logger,
-            snapshot_sent_at: MonotonicTime::ZERO,
-            has_unsent_changes: false,
             load: LoopLoad::default(),
             keeper,
         })
@@ -208,9 +205,9 @@
 
     async fn run(mut self) {
         let mut batch = Vec::with_capacity(COMMAND_BATCH);
-        let mut datagram = vec![0_u8; DATAGRAM_BYTES];
         loop {
             let tick = if self.state.has_waiting() { BUSY_TICK } else { IDLE_TICK };
+            let tick = tick.min(self.peers.next_send().saturating_sub(self.clock.now()));
             let (kind, woken) = tokio::select! {
                 count = self.commands.recv_many(&mut batch, COMMAND_BATCH) => {
                     if count == 0 {
@@ -229,10 +226,10 @@
                     self.handle_feed(event);
                     (InputKind::Other, woken)
                 },
-                Ok((length, _)) = self.socket.recv_from(&mut datagram) => {
+                Ok(()) = self.peers.readable() => {
                     let woken = self.clock.now();
-                    self.handle_datagram(&datagram[..length]);
-                    (InputKind::Datagram, woken)
+                    let count = self.peers.receive(&mut self.state, woken);
+                    (InputKind::Datagrams(count), woken)
                 },
                 () = tokio::time::sleep(tick) => (InputKind::Other, self.clock.now()),
             };
@@ -241,7 +238,7 @@
             self.log_rate_changes();
             self.log_hold_notices();
             self.keep_lost_configuration();
-            self.send_snapshot();
+            self.peers.send_due(&mut self.state, self.clock.now());
             self.record_load(kind, woken);
         }
     }
@@ -349,7 +346,6 @@
                 return Some(done);
             }
             self.state.handle_command(command, self.clock.now());
-            self.has_unsent_changes = true;
         }
         None
     }
@@ -363,41 +359,4 @@
             );
         }
     }
-
-    fn handle_datagram(&mut self, datagram: &[u8]) {
-        match self.seals.decode(datagram) {
-            Ok(None) => {},
-            Ok(Some(snapshot)) => self.state.apply_peer_snapshot(snapshot, self.clock.now()),
-            Err(error) => warn!(
-                self.logger, "control: dropping a peer datagram"; "error" => %error
-            ),
-        }
-    }
-
-    fn send_snapshot(&mut self) {
-        let now = self.clock.now();
-        if !self.has_unsent_changes && now < self.snapshot_sent_at + SNAPSHOT_INTERVAL {
-            return;
-        }
-        let Some(seal) = self.seals.current() else {
-            return;
-        };
-        self.has_unsent_changes = false;
-        self.snapshot_sent_at = now;
-        let snapshot = self.state.next_snapshot(now);
-        let datagram = match seal.encode(&snapshot) {
-            Ok(datagram) => datagram,
-            Err(error) => {
-                warn!(
-                    self.logger, "control: cannot encode the load snapshot; not sending it";
-                    "error" => %error
-                );
-                return;
-            },
-        };
-        for peer in self.state.registry().peer_addresses(&self.node) {
-            // The next snapshot replaces one that cannot be sent.
-            let _ = self.socket.try_send_to(&datagram, peer);
-        }
-    }
 }
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -78,6 +78,9 @@
     placement_count: u64,
     /// Changes of endpoints' limits that were not taken yet.
     rate_changes: Vec<RateChange>,
+    /// Whether the node's work, its waiting requests or its observations have changed since the
+    /// changes were last taken.
+    has_unsent_changes: bool,
     desired: Option<Arc<DesiredState>>,
     peer_secret: Option<Vec<u8>>,
     store_unreachable_since: Option<MonotonicTime>,
@@ -113,6 +116,7 @@
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
             rate_changes: Vec::new(),
+            has_unsent_changes: false,
             desired: None,
             peer_secret: None,
             store_unreachable_since: None,
@@ -125,6 +129,7 @@
 
     /// Handles a command of a traffic thread.
     pub fn handle_command(&mut self, command: ControlCommand, now: MonotonicTime) {
+        self.has_unsent_changes |= !matches!(command, ControlCommand::Confirm { .. });
         match command {
             ControlCommand::Place { request, reply } => self.request_placement(request, reply, now),
             ControlCommand::AnswerBegan { attempt, endpoint, slowdown } => {
@@ -190,6 +195,11 @@
         self.restore_hold.take_notices()
     }
 
+    /// Returns whether there are changes to tell other nodes since the last call.
+    pub fn take_unsent_changes(&mut self) -> bool {
+        std::mem::take(&mut self.has_unsent_changes)
+    }
+
     /// Takes the changes of endpoints' limits since the last call.
     pub fn take_rate_changes(&mut self) -> Vec<RateChange> {
         std::mem::take(&mut self.rate_changes)
@@ -208,6 +218,7 @@
             part_crashes: Vec::new(),
             part_answers: Vec::new(),
             rates: self.fleet.rate_reports(self.sequence, now),
+            relayed: Vec::new(),
         };
         self.quarantine.add_reports(&mut snapshot, now);
         snapshot
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -128,6 +128,7 @@
         };
         let attempt = waiting.request.attempt;
         self.fleet.record_start(attempt, &waiting.request.query, &plan, now);
+        self.has_unsent_changes = true;
         let (endpoint, expected_start) = (plan.endpoint, plan.expected_start);
         let is_rate_limited = self.fleet.stated_limit(&endpoint).is_some();
         let guard = AttemptGuard::new(self.handle.clone(), attempt);
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -89,6 +89,7 @@
             move || ControlParts {
                 node: settings.node,
                 incarnation,
+                data_centre: settings.data_centre,
                 peer_address: settings.peer_address,
                 regions: settings.regions,
                 limits: FleetLimits { retries: settings.retries },
--- a/crates/apricotknot-gateway/src/peers/mod.rs
+++ b/crates/apricotknot-gateway/src/peers/mod.rs
@@ -2,12 +2,18 @@
 //!
 //! A snapshot is complete, so the next datagram replaces a lost one, and no node waits for an
 //! answer. Remote calls would add a connection and an answer for each pair of nodes.
+//! [`SnapshotRouter`] decides which nodes get which snapshots.
 
 mod datagram_error;
 mod datagram_seal;
 mod peer_seals;
 mod snapshot_codec;
+mod snapshot_router;
 
 pub use datagram_error::DatagramError;
 pub use datagram_seal::DatagramSeal;
 pub use peer_seals::PeerSeals;
+pub use snapshot_codec::decode_snapshot;
+pub use snapshot_router::SnapshotDigest;
+pub use snapshot_router::SnapshotPeer;
+pub use snapshot_router::SnapshotRouter;
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -14,6 +14,9 @@
 /// Number of the section with the request rates of endpoints.
 const RATES_SECTION: u8 = 1;
 
+/// Number of the section with the snapshots of other nodes.
+const RELAYED_SECTION: u8 = 2;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -27,6 +30,9 @@
     if !snapshot.rates.is_empty() {
         push_section(&mut bytes, RATES_SECTION, &snapshot.rates)?;
     }
+    if !snapshot.relayed.is_empty() {
+        push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
+    }
     Ok(bytes)
 }
 
@@ -35,13 +41,15 @@
 /// # Errors
 ///
 /// Returns an error if the bytes are no snapshot.
-pub(super) fn decode_snapshot(bytes: &[u8]) -> Result<LoadSnapshot, DatagramError> {
+pub fn decode_snapshot(bytes: &[u8]) -> Result<LoadSnapshot, DatagramError> {
     let (mut snapshot, mut rest): (LoadSnapshot, &[u8]) =
         postcard::take_from_bytes(bytes).map_err(|_| DatagramError::Malformed)?;
     while !rest.is_empty() {
         let (number, value, others) = split_section(rest)?;
-        if number == RATES_SECTION {
-            snapshot.rates = parse_value(value)?;
+        match number {
+            RATES_SECTION => snapshot.rates = parse_value(value)?,
+            RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
+            _ => {},
         }
         rest = others;
     }
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -255,12 +255,13 @@
 #[test]
 fn removed_nodes_count_until_their_retention_ends() {
     let mut node = TestNode::new();
-    let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
+    let record =
+        NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1, data_centre: None };
     let nodes =
         ["own", "peer"].map(|name| RegistryChange::NodeAnnounced(name.into(), record.clone()));
     node.state.apply_snapshot(registry_update(nodes.to_vec()), NOW);
     assert_eq!(node.state.registry().count(), 2);
-    assert_eq!(node.state.registry().peer_addresses("own").count(), 1);
+    assert_eq!(node.state.registry().snapshot_peers("own").count(), 1);
     node.state
         .apply_changes(registry_update(vec![RegistryChange::NodeRemoved("peer".into())]), NOW);
     node.process_commands(NOW);
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -5,6 +5,7 @@
 use apricotknot_core::fleet::PartAnswerReport;
 use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::RateReport;
+use apricotknot_core::fleet::RelayedSnapshot;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::fleet::WorkSnapshot;
 use apricotknot_gateway::peers::DatagramError;
@@ -40,6 +41,7 @@
             per_second: Some(2.1),
             age_ms: 50,
         }],
+        relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
 
--- a/crates/apricotknot-gateway/tests/prompt_parts.rs
+++ b/crates/apricotknot-gateway/tests/prompt_parts.rs
@@ -256,7 +256,11 @@
 fn few_nodes_record_quarantined_parts_again() {
     let recorders = ["a", "b", "c", "d"].into_iter().filter(|name| {
         let mut node = TestNode::new(name);
-        let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
+        let record = NodeRecord {
+            address: ([127, 0, 0, 1], 9_100).into(),
+            incarnation: 1,
+            data_centre: None,
+        };
         let nodes = ["a", "b", "c", "d"]
             .map(|name| RegistryChange::NodeAnnounced(name.into(), record.clone()));
         let registry_changes = [RegistryChange::PartQuarantined(BAD)].into_iter().chain(nodes);
--- a/crates/apricotknot-gateway/tests/restored_state.rs
+++ b/crates/apricotknot-gateway/tests/restored_state.rs
@@ -139,7 +139,11 @@
     assert_eq!(written, Some(9));
     assert!(node.state.take_lost_configuration(NOW + Duration::from_secs(2)).is_none());
     let peers = ["a", "b"].map(|name| {
-        let record = NodeRecord { address: ([127, 0, 0, 1], 9_100).into(), incarnation: 1 };
+        let record = NodeRecord {
+            address: ([127, 0, 0, 1], 9_100).into(),
+            incarnation: 1,
+            data_centre: None,
+        };
         RegistryChange::NodeAnnounced(name.into(), record)
     });
     node.state.apply_changes(registry_update(peers.to_vec()), NOW);
--- a/crates/apricotknot-gateway/tests/support/rate_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/rate_fleet.rs
@@ -282,7 +282,11 @@
     let desired = DesiredState { version: 1, services, ..DesiredState::default() };
     let configuration = RecordChange::Configuration(Box::new(desired));
     let registry_changes = (0..nodes).map(|index| {
-        let record = NodeRecord { address: ([127, 0, 0, 1], 7_000).into(), incarnation: 1 };
+        let record = NodeRecord {
+            address: ([127, 0, 0, 1], 7_000).into(),
+            incarnation: 1,
+            data_centre: None,
+        };
         RegistryChange::NodeAnnounced(node_id(index).into(), record)
     });
     let update = StoreUpdate {
