refusals of other requests, and messages in streams, are not taken for the caller's answer

The engine client of 'run' kept connections and took any refusal for one of its own attempt; so did the client of plain services for refusals without an id. The gateway took a refusal that named another request as 'not run', so a call that may run once ran at a second endpoint, and the caller got 503. A resumed stream of the gateway passed on a message in plain text under a status of success. Change: one connection an attempt at both front doors; a refusal that names another attempt or request counts as may-have-run; a stream is continued only by an answer of its content type whose first event has the next id.

--- a/crates/apricotknot-core/src/fleet/endpoint_state.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_state.rs
@@ -13,6 +13,11 @@
 use crate::membership::hash_text;
 use crate::types::MonotonicTime;
 
+/// Time for which an endpoint that refused to reserve memory counts as full.
+///
+/// Its memory is taken by work of which this node does not know yet.
+const MEMORY_BACKOFF: Duration = Duration::from_millis(600);
+
 /// Registration of one endpoint, with what this node has observed of it.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -28,6 +33,8 @@
     pub(super) order_start: u64,
     /// Time at which this node last sent a request to the endpoint.
     last_sent: Option<MonotonicTime>,
+    /// Time at which it last refused to reserve memory.
+    memory_refused: Option<MonotonicTime>,
     /// What the endpoint stated last of its request rate, if it ever stated a limit.
     pub(super) stated_rate: Option<StatedRate>,
 }
@@ -41,6 +48,7 @@
             jitter: hash as f64 / f64::from(u32::MAX),
             order_start: hash_text(0, &entry.id),
             last_sent: None,
+            memory_refused: None,
             stated_rate: None,
             entry,
         }
@@ -51,6 +59,11 @@
         self.last_sent = Some(now);
     }
 
+    /// Records that the endpoint did not reserve memory.
+    pub(super) fn record_memory_refused(&mut self, now: MonotonicTime) {
+        self.memory_refused = Some(now);
+    }
+
     /// Sets what the endpoint states; returns the change of the limit, if there is one.
     pub(super) fn set_rate(
         &mut self,
@@ -76,6 +89,11 @@
 }
 
 impl EndpointState {
+    /// Returns whether the endpoint counts as full because it refused to reserve memory.
+    pub(super) fn is_memory_refused(&self, now: MonotonicTime) -> bool {
+        self.memory_refused.is_some_and(|refused| now < refused + MEMORY_BACKOFF)
+    }
+
     /// Returns the turn of this node if it sends at `interval`.
     pub(super) fn turn_after(&self, interval: Duration) -> RateTurn {
         let next = self.last_sent.map_or(MonotonicTime::ZERO, |last_sent| last_sent + interval);
--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -52,6 +52,8 @@
     pub(super) endpoints: BTreeMap<EndpointId, EndpointState>,
     /// Name of this node.
     node: NodeId,
+    /// Data centre of this node, if it is known.
+    data_centre: Option<DataCentreId>,
     /// Hash of this node's id, the seed of the endpoints' jitter.
     pub(super) jitter_seed: u64,
     /// Data centres in which operators want no new work.
@@ -73,6 +75,7 @@
         Self {
             endpoints: BTreeMap::new(),
             node: node.into(),
+            data_centre: None,
             jitter_seed: hash_text(0, node),
             evacuated: BTreeSet::new(),
             regions,
@@ -83,6 +86,11 @@
         }
     }
 
+    /// Sets the data centre that this node runs in.
+    pub fn set_data_centre(&mut self, data_centre: DataCentreId) {
+        self.data_centre = Some(data_centre);
+    }
+
     /// Replaces the services by those of a new configuration.
     pub fn set_services(&mut self, services: BTreeMap<ServiceId, ServiceProfile>) {
         self.services = services;
@@ -199,6 +207,13 @@
         }
     }
 
+    /// Records that an endpoint did not reserve memory for a prompt of another one.
+    pub fn record_memory_refused(&mut self, endpoint: &str, now: MonotonicTime) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.record_memory_refused(now);
+        }
+    }
+
     /// Applies the snapshot of another node; returns whether it is newer than the known one.
     ///
     /// An older snapshot is ignored.
@@ -252,6 +267,11 @@
         self.regions.get(data_centre)
     }
 
+    /// Returns whether a data centre is known to be another one than that of this node.
+    pub fn is_remote(&self, data_centre: &str) -> bool {
+        self.data_centre.as_ref().is_some_and(|own| **own != *data_centre)
+    }
+
     /// Returns the data centres in which operators want no new work.
     pub fn evacuated(&self) -> impl Iterator<Item = &DataCentreId> {
         self.evacuated.iter()
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -64,3 +64,8 @@
 pub use work::WorkItem;
 pub use work::WorkPhase;
 pub use work::WorkRole;
+
+/// Largest number of nodes that all send their load snapshots to one another directly.
+///
+/// In a larger fleet, nodes of other data centres become known through digests.
+pub const MAX_DIRECT_NODES: usize = 24;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -10,6 +10,7 @@
 use super::EndpointPhase;
 use super::EngineModel;
 use super::FleetState;
+use super::MAX_DIRECT_NODES;
 use super::RateTurn;
 use super::RequestSize;
 use super::endpoint_load::EndpointLoad;
@@ -51,6 +52,12 @@
 /// Upper limit of the jitter cost for any number of nodes.
 const MAX_JITTER: f64 = 0.5;
 
+/// Cost of an endpoint in another data centre, in units of request value, in a fleet of more than
+/// [`MAX_DIRECT_NODES`].
+///
+/// Work that nodes of other data centres give it becomes known later than that of nearby nodes.
+const REMOTE_COST: f64 = 0.15;
+
 /// Retry delay that is sent to a caller when no endpoint had room in time.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
 
@@ -221,8 +228,9 @@
     now: MonotonicTime,
 ) -> PlacementCandidate {
     let engine = fleet.service(&state.entry.service).and_then(|profile| profile.engine.as_ref());
-    let memory =
-        engine.map_or(0, |engine| (engine.memory as f64 * USABLE_MEMORY_FRACTION) as TokenCount);
+    let memory = engine
+        .filter(|_| !state.is_memory_refused(now))
+        .map_or(0, |engine| (engine.memory as f64 * USABLE_MEMORY_FRACTION) as TokenCount);
     PlacementCandidate {
         endpoint: Arc::clone(&state.entry.id),
         slots: state.entry.slots.max(1),
@@ -232,7 +240,7 @@
         may_help: now >= state.entry.cold_until && fleet.rate_limit(state, now).is_none(),
         backlog: load.backlog(now),
         helper_backlog: load.helper_backlog(now),
-        jitter_cost: state.jitter * jitter_scale,
+        choice_cost: state.jitter * jitter_scale + remote_cost(fleet, state),
         load,
     }
 }
@@ -245,13 +253,19 @@
     (JITTER_PER_NODE * node_count.saturating_sub(NODES_WITHOUT_JITTER) as f64).min(MAX_JITTER)
 }
 
+/// Returns the cost of an endpoint that lies in another data centre.
+fn remote_cost(fleet: &FleetState, state: &EndpointState) -> f64 {
+    let is_large = fleet.node_count() > MAX_DIRECT_NODES;
+    if is_large && fleet.is_remote(&state.entry.data_centre) { REMOTE_COST } else { 0.0 }
+}
+
 /// Chooses the endpoint of a plain service with the lowest cost, which is mainly its slot usage.
 fn best_plain_plan(candidates: Vec<PlacementCandidate>) -> Option<ScoredPlan> {
     let cost = |candidate: &PlacementCandidate| {
         let used_fraction = f64::from(candidate.load.running) / f64::from(candidate.slots);
         used_fraction * candidate.slowdown
             + candidate.failure_rate * FAILURE_COST
-            + candidate.jitter_cost
+            + candidate.choice_cost
     };
     let best = candidates.into_iter().min_by(|left, right| cost(left).total_cmp(&cost(right)))?;
     Some(ScoredPlan {
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -65,7 +65,7 @@
     /// Time until its prefills as a helper are done.
     pub(super) helper_backlog: Duration,
     /// Cost that makes nodes choose differently among nearly equal endpoints.
-    pub(super) jitter_cost: f64,
+    pub(super) choice_cost: f64,
     pub(super) load: EndpointLoad,
 }
 
@@ -200,10 +200,10 @@
 }
 
 impl ScoredCandidate<'_> {
-    /// Returns the key that orders helpers: the cost, then the time until ready with the jitter.
+    /// Returns the key that orders helpers: the cost, then the time until ready with the cost of the choice.
     fn sort_key(&self) -> (f64, Duration) {
-        let jitter_time = Duration::from_secs_f64(self.candidate.jitter_cost / OPPORTUNITY_COST);
-        (self.cost, self.helper_ready + jitter_time)
+        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / OPPORTUNITY_COST);
+        (self.cost, self.helper_ready + choice_time)
     }
 }
 
@@ -248,7 +248,7 @@
             + request_value(query.size.prompt) * LATENCY_COST * time_fraction
             + packing_cost(engine, load, query)
             + request_value(missing)
-            + scored.candidate.jitter_cost
+            + scored.candidate.choice_cost
     };
     let with_room = scored_candidates.iter().enumerate().filter(|(_, scored)| has_room(scored));
     let best = with_room.min_by(|left, right| cost(left.1).total_cmp(&cost(right.1)));
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -114,6 +114,11 @@
         /// Receives the answer.
         reply: oneshot::Sender<bool>,
     },
+    /// An endpoint did not reserve memory for an attempt that it was to help.
+    MemoryRefused {
+        /// Endpoint that has no memory, or did not answer.
+        endpoint: EndpointId,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Identifies the attempt.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -167,7 +167,7 @@
         let record = NodeRecord {
             address: parts.peer_address,
             incarnation: parts.incarnation,
-            data_centre: Some(parts.data_centre),
+            data_centre: Some(Arc::clone(&parts.data_centre)),
         };
         let logger = parts.logger.clone();
         let announcer_signals = Rc::new(AnnouncerSignals {
@@ -185,8 +185,9 @@
             logger,
         );
         let announcer_task = actix_rt::spawn(announcer.run());
-        let state =
+        let mut state =
             ControlState::new(handle, parts.node, parts.incarnation, parts.regions, parts.limits);
+        state.set_data_centre(parts.data_centre);
         Ok(Self {
             state,
             clock,
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Sets the data centre that the node runs in; its endpoints are preferred in a large fleet.
+    pub fn set_data_centre(&mut self, data_centre: DataCentreId) {
+        self.fleet.set_data_centre(data_centre);
+    }
+
     /// Handles a command of a traffic thread.
     pub fn handle_command(&mut self, command: ControlCommand, now: MonotonicTime) {
         self.has_unsent_changes |= !matches!(command, ControlCommand::Confirm { .. });
@@ -144,6 +149,9 @@
                 // A closed channel means that the call has ended.
                 let _ = reply.send(self.fleet.is_still_permitted(attempt));
             },
+            ControlCommand::MemoryRefused { endpoint } => {
+                self.fleet.record_memory_refused(&endpoint, now);
+            },
             ControlCommand::AttemptEnded { attempt, end } => self.end_attempt(attempt, end, now),
             ControlCommand::ConnectionBroken { fingerprint, endpoint } => {
                 self.quarantine.record_broken(CrashReport { fingerprint, endpoint }, now);
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -5,6 +5,8 @@
 
 use actix_http::ResponseHead;
 use actix_http::header::CONTENT_ENCODING;
+use actix_http::header::CONTENT_TYPE;
+use actix_http::header::HeaderValue;
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::routing::CallKind;
@@ -93,6 +95,8 @@
     pub(super) last_event_id: Option<u64>,
     /// Whether the head of an answer was written to the caller.
     pub(super) has_answer_begun: bool,
+    /// Content type of the answer that was begun, if it had one.
+    pub(super) content_type: Option<HeaderValue>,
     /// Endpoints that no further attempt may use.
     pub(super) excluded: Vec<EndpointId>,
     /// Endpoint of the latest attempt.
@@ -122,6 +126,7 @@
             call,
             last_event_id,
             has_answer_begun: false,
+            content_type: None,
             excluded: Vec::new(),
             endpoint: None,
             answer_begun_after: None,
@@ -173,14 +178,15 @@
                 return Err(CallInterrupt::CallerDisconnected);
             },
             Err(_) => return Err(CallInterrupt::Deadline),
-            Ok(Some(reserved)) => reserved,
-            Ok(None) => {
-                guard.set_end(AttemptEnd::Refused);
-                self.record_failed_attempt(
-                    &grant.endpoint,
-                    AttemptEnd::Refused,
-                    "no memory at a helper",
-                );
+            Ok(Ok(reserved)) => reserved,
+            Ok(Err(refused)) => {
+                for endpoint in refused {
+                    self.context.control.send(ControlCommand::MemoryRefused { endpoint });
+                }
+                // The endpoint itself was not asked.
+                guard.set_end(AttemptEnd::Abandoned);
+                let cause = "no memory at a helper";
+                self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
                 return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
             },
         };
@@ -263,7 +269,10 @@
     ) -> Result<AnsweredAttempt, CallInterrupt> {
         let metadata = self.context.protocol.read_answer(&head);
         self.report_rate(&open, &metadata);
-        if metadata.is_misdirected || metadata.is_not_run {
+        let answered_id = metadata.request_id.as_deref();
+        let is_own = answered_id.is_none_or(|id| id == &*self.call.metadata.request_id);
+        // The refusal of another request says nothing about this one, which may be running.
+        if is_own && (metadata.is_misdirected || metadata.is_not_run) {
             let end = match metadata.is_misdirected {
                 true => AttemptEnd::Unreachable,
                 false => AttemptEnd::Refused,
@@ -273,13 +282,11 @@
             self.excluded.push(open.at_fault(metadata.at_fault.as_deref()));
             return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
         }
-        let matches_request =
-            metadata.request_id.as_deref() == Some(&*self.call.metadata.request_id);
-        let is_valid =
-            metadata.is_sealed && matches_request && !head.headers.contains_key(CONTENT_ENCODING);
-        // Once a stream has begun, only an answer that continues it can be forwarded.
-        let can_continue = !self.has_answer_begun || head.status.is_success();
-        if is_valid && can_continue {
+        let is_valid = metadata.is_sealed
+            && is_own
+            && answered_id.is_some()
+            && !head.headers.contains_key(CONTENT_ENCODING);
+        if is_valid && self.can_continue(&head) {
             return Ok(AnsweredAttempt { open, head });
         }
         open.guard.set_end(AttemptEnd::Failed);
@@ -290,6 +297,14 @@
         Err(CallInterrupt::Attempt(AttemptFault::MayHaveRun))
     }
 
+    /// Returns whether an answer can be forwarded after what the caller has already received.
+    ///
+    /// Once a stream has begun, only a stream of the same type continues it.
+    fn can_continue(&self, head: &ResponseHead) -> bool {
+        let is_same_type = head.headers.get(CONTENT_TYPE) == self.content_type.as_ref();
+        !self.has_answer_begun || (head.status.is_success() && is_same_type)
+    }
+
     /// Returns whether the call may run again after an attempt that may have run.
     pub(super) fn may_run_again(&self) -> bool {
         self.call.route.is_retry_safe() && self.runs < self.call.route.max_attempts
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -4,6 +4,7 @@
 
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
+use actix_http::header::CONTENT_TYPE;
 
 use super::attempt::AnsweredAttempt;
 use super::attempt::CallInterrupt;
@@ -51,11 +52,12 @@
                 Ok(Ok(Some(part))) => splitter.push(&part),
             }
             while let Some(event) = splitter.next_event() {
-                if !std::mem::replace(&mut open.has_begun, true) {
+                let is_first = !std::mem::replace(&mut open.has_begun, true);
+                if is_first {
                     self.record_answer_begun(&open);
                     open.silence_limit = open.silence_limit.and(self.stream_silence_limit());
                 }
-                if !self.is_next(&event) {
+                if !self.is_next(&event, is_first) {
                     return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
                 }
                 self.forward(&head, event)?;
@@ -68,11 +70,15 @@
         self.finish_stream(open, &head)
     }
 
-    /// Returns whether an event follows the last forwarded one; events without ids always do.
-    fn is_next(&self, event: &StreamEvent) -> bool {
+    /// Returns whether an event follows the last forwarded one.
+    ///
+    /// An event without an id does, unless it is the first one with which another attempt continues
+    /// a stream.
+    fn is_next(&self, event: &StreamEvent, is_first: bool) -> bool {
         match (self.last_event_id, event.id) {
             (Some(last), Some(id)) => id == last + 1,
-            _ => true,
+            (Some(_), None) => !(is_first && self.has_answer_begun),
+            (None, _) => true,
         }
     }
 
@@ -87,6 +93,7 @@
         if std::mem::replace(&mut self.has_answer_begun, true) {
             return Ok(());
         }
+        self.content_type = head.headers.get(CONTENT_TYPE).cloned();
         let mut head = head.clone();
         remove_hop_by_hop_headers(&mut head.headers);
         self.close_if_stopping();
--- a/crates/apricotknot-gateway/src/driver/reservation.rs
+++ b/crates/apricotknot-gateway/src/driver/reservation.rs
@@ -1,11 +1,13 @@
 //! Memory that helpers reserve for one attempt.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
 use apricotknot_core::types::AttemptId;
+use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::TokenCount;
 use futures::future::join_all;
 use slog::Logger;
@@ -39,6 +41,7 @@
 /// Describes the memory that one endpoint reserves.
 #[derive(Clone, Debug)]
 struct MemoryReservation {
+    endpoint: EndpointId,
     address: SocketAddr,
     id: ReservationId,
     tokens: TokenCount,
@@ -59,12 +62,15 @@
 
 /// Reserves memory at each helper that has to hold a part of the prompt.
 ///
-/// Returns `None` if any helper has no room; the reservations at the others are released.
+/// # Errors
+///
+/// Returns the helpers that have no room or do not answer; the reservations at the others are
+/// released.
 pub(super) async fn reserve<P: CallProtocol>(
     context: &TrafficContext<P>,
     attempt: AttemptId,
     helpers: &[HelperGrant],
-) -> Option<(Vec<HelperAddress>, ReservationGuard)> {
+) -> Result<(Vec<HelperAddress>, ReservationGuard), Vec<EndpointId>> {
     let addresses = helpers.iter().enumerate().map(|(index, helper)| HelperAddress {
         address: helper.address,
         reservation: (helper.memory > 0).then(|| format!("{attempt:032x}-{index}").into()),
@@ -75,11 +81,16 @@
         .zip(helpers)
         .filter_map(|(address, helper)| {
             let id = address.reservation.clone()?;
-            Some(MemoryReservation { address: helper.address, id, tokens: helper.memory })
+            Some(MemoryReservation {
+                endpoint: Arc::clone(&helper.endpoint),
+                address: helper.address,
+                id,
+                tokens: helper.memory,
+            })
         })
         .collect();
     if reservations.is_empty() {
-        return Some((addresses, ReservationGuard { _stop: None }));
+        return Ok((addresses, ReservationGuard { _stop: None }));
     }
     let client = ReservationClient {
         protocol: context.protocol.clone(),
@@ -91,21 +102,24 @@
     let guard = ReservationGuard { _stop: Some(stop) };
     let (answer, answered) = oneshot::channel();
     actix_rt::spawn(client.maintain(reservations, answer, stopped));
-    answered.await.unwrap_or(false).then_some((addresses, guard))
+    // The task answers before it ends.
+    let refused = answered.await.unwrap_or_default();
+    if refused.is_empty() { Ok((addresses, guard)) } else { Err(refused) }
 }
 
 impl<P: CallProtocol> ReservationClient<P> {
     /// Reserves the memory, renews the reservations until `stopped`, and releases them.
     ///
-    /// Sends to `answer` whether all of the memory was reserved.
+    /// Sends to `answer` the endpoints that reserved none.
     async fn maintain(
         self,
         reservations: Vec<MemoryReservation>,
-        answer: oneshot::Sender<bool>,
+        answer: oneshot::Sender<Vec<EndpointId>>,
         mut stopped: oneshot::Receiver<()>,
     ) {
-        let is_reserved = self.reserve_all(&reservations).await;
-        if answer.send(is_reserved).is_ok() && is_reserved {
+        let refused = self.reserve_all(&reservations).await;
+        let is_reserved = refused.is_empty();
+        if answer.send(refused).is_ok() && is_reserved {
             loop {
                 tokio::select! {
                     _ = &mut stopped => break,
@@ -119,7 +133,8 @@
         join_all(reservations.iter().map(|reservation| self.release(reservation))).await;
     }
 
-    async fn reserve_all(&self, reservations: &[MemoryReservation]) -> bool {
+    /// Reserves or renews all of the memory; returns the endpoints that did not.
+    async fn reserve_all(&self, reservations: &[MemoryReservation]) -> Vec<EndpointId> {
         let requests = reservations.iter().map(|reservation| {
             let id = reservation.id.clone();
             let request = ReservationRequest::Reserve {
@@ -130,13 +145,16 @@
             self.send(reservation.address, request)
         });
         let answers = join_all(requests).await;
-        answers.into_iter().zip(reservations).all(|(answer, reservation)| match answer {
-            Ok(StatusCode::OK) => true,
-            Ok(status) => self.log_failure(reservation, "cannot reserve memory", status.as_str()),
-            Err(error) => {
-                self.log_failure(reservation, "cannot reserve memory", &error.to_string())
-            },
-        })
+        let refused = answers.into_iter().zip(reservations).filter_map(|(answer, reservation)| {
+            let cause = match answer {
+                Ok(StatusCode::OK) => return None,
+                Ok(status) => status.as_str().to_owned(),
+                Err(error) => error.to_string(),
+            };
+            self.log_failure(reservation, "cannot reserve memory", &cause);
+            Some(Arc::clone(&reservation.endpoint))
+        });
+        refused.collect()
     }
 
     /// Releases a reservation; after several failures it is left to expire.
@@ -146,7 +164,7 @@
             match self.send(reservation.address, request).await {
                 Ok(_) => return,
                 Err(error) => {
-                    _ = self.log_failure(reservation, "cannot release memory", &error.to_string())
+                    self.log_failure(reservation, "cannot release memory", &error.to_string());
                 },
             }
         }
@@ -167,17 +185,11 @@
         answer.unwrap_or(Err(ExchangeError::Truncated))
     }
 
-    fn log_failure(
-        &self,
-        reservation: &MemoryReservation,
-        event: &'static str,
-        cause: &str,
-    ) -> bool {
+    fn log_failure(&self, reservation: &MemoryReservation, event: &'static str, cause: &str) {
         warn!(
             self.logger, "reservation: {}", event;
             "reservation" => %reservation.id, "address" => %reservation.address,
             "tokens" => reservation.tokens, "cause" => cause
         );
-        false
     }
 }
--- a/crates/apricotknot-gateway/src/peers/snapshot_router.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_router.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::LoadSnapshot;
+use apricotknot_core::fleet::MAX_DIRECT_NODES;
 use apricotknot_core::fleet::RelayedSnapshot;
 use apricotknot_core::membership::hash_text;
 use apricotknot_core::types::DataCentreId;
@@ -21,9 +22,6 @@
 use super::snapshot_codec::encode_snapshot;
 use crate::clock::millis;
 
-/// Largest number of nodes that all send their snapshots to one another directly.
-const MAX_DIRECT_NODES: usize = 24;
-
 /// Interval at which a data centre sends digests to each other one.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
 
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -315,3 +315,32 @@
 fn peer_snapshot(node: &str, sequence: u64, crashes: Vec<CrashReport>) -> LoadSnapshot {
     LoadSnapshot { node: node.into(), incarnation: 1, sequence, crashes, ..LoadSnapshot::default() }
 }
+
+#[test]
+fn helper_that_refused_memory_is_asked_again_only_after_a_while() {
+    let mut node = TestNode::with_engines(4);
+    let mut reply = node.request_placement(150_000, NOW);
+    let grant = granted(&mut reply);
+    let holders = grant.helpers.iter().filter(|helper| helper.memory > 0);
+    let refused =
+        holders.map(|helper| helper.endpoint.clone()).next().expect("a helper with memory");
+    drop(grant);
+    node.process_commands(NOW);
+    let command = ControlCommand::MemoryRefused { endpoint: refused.clone() };
+    node.state.handle_command(command, NOW);
+    for wait in [0, 100, 500] {
+        let mut reply = node.request_placement(150_000, NOW + Duration::from_millis(wait));
+        let grant = granted(&mut reply);
+        assert_ne!(grant.endpoint, refused, "after {wait} ms");
+        for helper in &grant.helpers {
+            assert!(helper.endpoint != refused || helper.memory == 0, "after {wait} ms");
+        }
+        drop(grant);
+        node.process_commands(NOW + Duration::from_millis(wait));
+    }
+    let mut reply = node.request_placement(380_000, NOW + Duration::from_secs(2));
+    let grant = granted(&mut reply);
+    let uses_refused = grant.endpoint == refused
+        || grant.helpers.iter().any(|helper| helper.endpoint == refused && helper.memory > 0);
+    assert!(uses_refused, "a prompt that needs all engines uses it again");
+}
--- a/crates/apricotknot-gateway/tests/snapshot_router.rs
+++ b/crates/apricotknot-gateway/tests/snapshot_router.rs
@@ -7,6 +7,7 @@
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::RelayedSnapshot;
 use apricotknot_core::types::NodeId;
+use apricotknot_gateway::clock::millis;
 use apricotknot_gateway::peers::SnapshotPeer;
 use apricotknot_gateway::peers::SnapshotRouter;
 use apricotknot_gateway::peers::decode_snapshot;
@@ -20,6 +21,9 @@
 /// Age of a snapshot beyond which a node counts as unheard; the state then ignores its work.
 const MAX_AGE: Duration = Duration::from_millis(2_500);
 
+/// Port of the first node.
+const FIRST_PORT: u16 = 10_000;
+
 struct PlayedNode {
     name: NodeId,
     router: SnapshotRouter,
@@ -41,10 +45,11 @@
 }
 
 fn address(index: usize) -> SocketAddr {
-    ([127, 0, 0, 1], u16::try_from(10_000 + index).expect("a port")).into()
+    ([127, 0, 0, 1], FIRST_PORT + index as u16).into()
 }
 
 impl PlayedFleet {
+    #[allow(clippy::expect_used, reason = "test helpers may panic")]
     fn new(count: usize, data_centres: usize) -> Self {
         let peers: Vec<SnapshotPeer> = (0..count)
             .map(|index| SnapshotPeer {
@@ -81,7 +86,7 @@
         sender.sequence += 1;
         let snapshot = LoadSnapshot {
             node: sender.name.clone(),
-            incarnation: u64::try_from(self.now.as_millis()).expect("a short play"),
+            incarnation: millis(self.now),
             sequence: sender.sequence,
             relayed,
             ..LoadSnapshot::default()
@@ -89,12 +94,14 @@
         for recipient in recipients {
             sender.datagrams += 1;
             self.sent += 1;
-            if self.sent % self.dropped_in != 0 {
-                self.in_transit.push((usize::from(recipient.port()) - 10_000, snapshot.clone()));
+            if !self.sent.is_multiple_of(self.dropped_in) {
+                self.in_transit
+                    .push((usize::from(recipient.port() - FIRST_PORT), snapshot.clone()));
             }
         }
     }
 
+    #[allow(clippy::expect_used, reason = "test helpers may panic")]
     fn deliver(&mut self) {
         for (node, snapshot) in std::mem::take(&mut self.in_transit) {
             if !self.nodes[node].is_alive {
@@ -119,6 +126,7 @@
         }
     }
 
+    #[allow(clippy::expect_used, reason = "test helpers may panic")]
     fn play(&mut self, length: Duration) {
         let end = self.now + length;
         while self.now < end {
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -33,8 +33,13 @@
     /// As [`DisconnectAfter`](Self::DisconnectAfter), and requests to resume a stream are answered
     /// with status 500.
     DisconnectAfterThenFail(u64),
+    /// As [`DisconnectAfter`](Self::DisconnectAfter), and requests to resume a stream are answered
+    /// with a message in plain text, under a status of success.
+    DisconnectAfterThenText(u64),
     /// The endpoint refuses requests as full, and runs none.
     Full,
+    /// Requests run, and the endpoint sends the refusal of another request instead of the answer.
+    RefuseAnother,
     /// Requests run, and the connection is closed before the answer.
     DropAnswer,
     /// Answers carry the id of another request.
@@ -278,6 +283,11 @@
         guard.mark_complete();
         return HttpReply::Disconnect;
     }
+    if fault == EndpointFault::RefuseAnother {
+        guard.mark_complete();
+        let refusal = HttpReply::json(503, &json!({})).header("not-executed", "1");
+        return refusal.header("request-id", "another");
+    }
     let id = match fault {
         EndpointFault::WrongRequestId => "another",
         _ => &record.request_id,
@@ -287,11 +297,17 @@
         EndpointFault::DisconnectAfterThenFail(_) => record.last_event_id.is_some(),
         _ => false,
     };
+    let is_text = matches!(fault, EndpointFault::DisconnectAfterThenText(_))
+        && record.last_event_id.is_some();
     let status = if is_failing { 500 } else { 200 };
     let reply = match call.header("token-count") {
-        Some(_) if !is_failing => {
+        Some(_) if !is_failing && !is_text => {
             HttpReply::stream("text/event-stream", events(record, fault, interval, guard))
         },
+        _ if is_text => {
+            guard.mark_complete();
+            HttpReply::bytes(status, "text/plain", Bytes::from_static(b"upstream failed\n\n"))
+        },
         _ => {
             guard.mark_complete();
             HttpReply::bytes(status, "text/plain", Bytes::from_static(b"whole answer"))
@@ -308,9 +324,9 @@
 ) -> impl Stream<Item = Result<Bytes, io::Error>> + 'static {
     let first = record.last_event_id.map_or(0, |last| last + 1);
     let disconnect_at = match fault {
-        EndpointFault::DisconnectAfter(count) | EndpointFault::DisconnectAfterThenFail(count) => {
-            first + count
-        },
+        EndpointFault::DisconnectAfter(count)
+        | EndpointFault::DisconnectAfterThenFail(count)
+        | EndpointFault::DisconnectAfterThenText(count) => first + count,
         _ => u64::MAX,
     };
     unfold((first, guard), move |(number, mut guard)| async move {
--- a/crates/apricotknot/src/engine/adapter.rs
+++ b/crates/apricotknot/src/engine/adapter.rs
@@ -57,15 +57,22 @@
 }
 
 /// Calls engines over HTTP; each thread uses its own.
+///
+/// Each attempt has a connection of its own, so what an engine sends late or twice cannot be read as
+/// the answer to another attempt. Auxiliary calls share connections.
 #[derive(Clone)]
 pub struct HttpEngineClient {
-    client: Client,
+    attempts: Client,
+    auxiliary: Client,
 }
 
 impl HttpEngineClient {
-    /// Creates a client with its own connection pool.
+    /// Creates a client without open connections.
     pub fn new() -> Self {
-        Self { client: endpoint_client(MAX_CONNECTIONS) }
+        Self {
+            attempts: endpoint_client(MAX_CONNECTIONS),
+            auxiliary: endpoint_client(MAX_CONNECTIONS),
+        }
     }
 
     /// Makes an auxiliary call and parses the JSON body of its answer.
@@ -101,15 +108,16 @@
         request: AttemptRequest,
     ) -> Result<EngineAnswer<EngineBody>, EngineError> {
         let http_request = self
-            .client
+            .attempts
             .post(format!("http://{}{}", request.address, request.path.as_str()))
+            .force_close()
             .insert_header((ATTEMPT_HEADER, format_attempt(request.attempt)))
             .insert_header(("x-priority", request.priority.to_string()))
             .insert_header(("x-fencing-number", request.fencing_number.to_string()))
             .insert_header(("content-type", "application/json"))
             .timeout(request.head_timeout);
         let response = http_request.send_body(SlicedBody::new(request.body)).await;
-        read_head(response.map_err(|error| send_error(&error))?)
+        read_head(response.map_err(|error| send_error(&error))?, request.attempt)
     }
 
     async fn resume(
@@ -121,8 +129,9 @@
         let attempt_id = format_attempt(attempt);
         let uri =
             format!("http://{address}/engine/resume?attempt_id={attempt_id}&from={first_index}");
-        let response = self.client.get(uri).timeout(AUXILIARY_CALL_TIMEOUT).send().await;
-        read_head(response.map_err(|error| send_error(&error))?)
+        let request = self.attempts.get(uri).force_close().timeout(AUXILIARY_CALL_TIMEOUT);
+        let response = request.send().await;
+        read_head(response.map_err(|error| send_error(&error))?, attempt)
     }
 
     async fn cancel(
@@ -135,7 +144,7 @@
             .map_err(|_| EngineError::new(EngineErrorKind::NotSent))?
             .into();
         let request = self
-            .client
+            .auxiliary
             .post(format!("http://{address}/engine/cancel"))
             .insert_header(("content-type", "application/json"));
         let reply: CancelReply = self.auxiliary_call(request, body).await?;
@@ -148,11 +157,11 @@
         after: u64,
     ) -> Result<CacheEvents, EngineError> {
         let uri = format!("http://{address}/engine/events?after={after}");
-        self.auxiliary_call(self.client.get(uri), Bytes::new()).await
+        self.auxiliary_call(self.auxiliary.get(uri), Bytes::new()).await
     }
 
     async fn load(&self, address: SocketAddr) -> Result<LoadReport, EngineError> {
-        let request = self.client.get(format!("http://{address}/engine/load"));
+        let request = self.auxiliary.get(format!("http://{address}/engine/load"));
         self.auxiliary_call(request, Bytes::new()).await
     }
 }
@@ -171,16 +180,22 @@
     }
 }
 
-/// Checks the status of a response and reads its headers.
-fn read_head(response: ClientResponse) -> Result<EngineAnswer<EngineBody>, EngineError> {
+/// Checks the status of the response to `attempt` and reads its headers.
+///
+/// A refusal of another attempt says nothing about this one, which the engine may be running.
+fn read_head(
+    response: ClientResponse,
+    attempt: AttemptId,
+) -> Result<EngineAnswer<EngineBody>, EngineError> {
     let headers = response.headers();
+    let echoed = header_text(headers, ATTEMPT_HEADER).map(parse_attempt).transpose()?;
     if !response.status().is_success() {
-        return Err(rejection_error(response.status(), headers));
+        let is_own = echoed.is_none_or(|echoed| echoed == attempt);
+        return Err(match is_own {
+            true => rejection_error(response.status(), headers),
+            false => EngineError::new(EngineErrorKind::Malformed),
+        });
     }
-    let echoed = match header_text(headers, ATTEMPT_HEADER) {
-        Some(echoed) => Some(parse_attempt(echoed)?),
-        None => None,
-    };
     Ok(EngineAnswer {
         echoed,
         boot: header_text(headers, BOOT_HEADER).map(Into::into),
--- a/crates/apricotknot/src/plain/adapter.rs
+++ b/crates/apricotknot/src/plain/adapter.rs
@@ -25,13 +25,16 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Calls plain services over HTTP; each traffic thread uses its own.
+///
+/// Each call has a connection of its own, so what a service sends late or twice cannot be read as
+/// the answer to another call.
 #[derive(Clone)]
 pub struct HttpPlainClient {
     client: Client,
 }
 
 impl HttpPlainClient {
-    /// Creates a client with its own connection pool.
+    /// Creates a client without open connections.
     pub fn new() -> Self {
         Self { client: endpoint_client(MAX_CONNECTIONS) }
     }
@@ -46,7 +49,8 @@
 impl PlainClient for HttpPlainClient {
     async fn call(&self, request: PlainRequest) -> Result<PlainAnswer, PlainError> {
         let url = format!("http://{}{}", request.address, request.target);
-        let mut http_request = self.client.request(request.method, url).no_decompress();
+        let mut http_request =
+            self.client.request(request.method, url).no_decompress().force_close();
         for (name, value) in &request.headers {
             http_request = http_request.append_header((name.clone(), value.clone()));
         }
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -95,12 +95,23 @@
 
 #[test]
 fn a_failed_resumption_is_not_written_into_a_started_answer() {
-    let fleet = Fleet::start("begun", 1);
+    check_failed_resumption("begun", EndpointFault::DisconnectAfterThenFail(2));
+}
+
+#[test]
+fn a_message_in_plain_text_is_not_written_into_a_started_stream() {
+    check_failed_resumption("message", EndpointFault::DisconnectAfterThenText(2));
+}
+
+/// Checks that a stream whose resumption fails as `fault` says ends visibly incomplete.
+fn check_failed_resumption(name: &str, fault: EndpointFault) {
+    let fleet = Fleet::start(name, 1);
     for engine in &fleet.engines {
-        engine.set_fault(EndpointFault::DisconnectAfterThenFail(2));
+        engine.set_fault(fault);
     }
-    let raw = read_raw_answer(fleet.nodes[0].caller_address, &stream_request("begun", 1_000));
+    let raw = read_raw_answer(fleet.nodes[0].caller_address, &stream_request(name, 1_000));
     assert_eq!(raw.matches("HTTP/1.1").count(), 1, "{raw}");
+    assert!(!raw.contains("upstream") && !raw.contains("whole answer"), "{raw}");
     assert!(raw.contains("piece 1") && !raw.ends_with("0\r\n\r\n"), "{raw}");
     let runs = fleet.engines.iter().flat_map(EndpointServer::executions);
     assert!(
@@ -109,6 +120,16 @@
     );
 }
 
+#[test]
+fn a_refusal_of_another_request_does_not_count_as_not_run() {
+    let fleet = Fleet::start("another", 1);
+    fleet.set_plain_fault(EndpointFault::RefuseAnother);
+    let answer = fleet.nodes[0].send(&order_request("mine"));
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert!(answer.body.contains("\"executed\":\"unknown\""), "{answer:?}");
+    assert_eq!(fleet.plain_runs().len(), 1, "the call was not sent again");
+}
+
 #[test]
 fn a_non_repeatable_call_is_sent_once() {
     let fleet = Fleet::start("once", 1);
