gateway: reads of the key-value service follow the time in which a drain must be known

Change: setting drain_ms (default 3,000). The interval grows by 12 ms a node up to drain_ms less 2.6 s, the time of one failed call and its repeat, between 0.3 and 1 s. Deployments with 3 s keep 0.4 s, those with 2 s keep 0.3 s, one with 4 s gets 1 s.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -38,10 +38,7 @@
 /// Shortest interval between two calls, so that changes in quick succession are read together.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Longest interval between two calls.
-///
-/// A call without an answer takes 2.5 s more, and nodes must learn of a leaving endpoint within
-/// 3 s.
+/// Longest interval between two calls, unless [`StateFeed::max_interval`] sets another one.
 const MAX_CALL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time by which each node of the fleet lengthens the interval between two calls.
@@ -113,6 +110,7 @@
     events: mpsc::Sender<FeedEvent>,
     /// Number of nodes that watch the service; the control thread updates it.
     node_count: Rc<Cell<usize>>,
+    max_interval: Duration,
     failures: u32,
     /// Era of the last answer, if there was one.
     era: Option<EraNumber>,
@@ -137,12 +135,19 @@
             clock,
             events,
             node_count,
+            max_interval: MAX_CALL_INTERVAL,
             failures: 0,
             era: None,
             is_restored: false,
         }
     }
 
+    /// Sets the longest interval between two calls, to which it grows with the number of nodes.
+    pub fn max_interval(mut self, interval: Duration) -> Self {
+        self.max_interval = interval.max(MIN_CALL_INTERVAL);
+        self
+    }
+
     /// Reads and watches the service until the receiver of the events is closed.
     pub async fn run(mut self) {
         while !self.events.is_closed() {
@@ -191,10 +196,7 @@
                     let elapsed = self.clock.now().saturating_sub(sent_at);
                     let as_of = sent_at + confirmed_duration(batch.events.is_empty(), elapsed);
                     self.send_changes(&batch, as_of).await;
-                    tokio::time::sleep(
-                        call_interval(self.node_count.get()).saturating_sub(elapsed),
-                    )
-                    .await;
+                    tokio::time::sleep(self.call_interval().saturating_sub(elapsed)).await;
                 },
                 Err(error)
                     if matches!(
@@ -273,18 +275,19 @@
         tokio::time::sleep(retry_delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
     }
 
+    /// Returns the shortest time between two calls of this node.
+    fn call_interval(&self) -> Duration {
+        let node_count = u32::try_from(self.node_count.get()).unwrap_or(u32::MAX);
+        let interval = INTERVAL_PER_NODE.saturating_mul(node_count);
+        interval.clamp(MIN_CALL_INTERVAL, self.max_interval)
+    }
+
     async fn send(&self, event: FeedEvent) {
         // A closed channel means that the node stops; the loops check for it.
         let _ = self.events.send(event).await;
     }
 }
 
-/// Returns the shortest interval between two calls of one node in a fleet of `node_count` nodes.
-fn call_interval(node_count: usize) -> Duration {
-    let node_count = u32::try_from(node_count).unwrap_or(u32::MAX);
-    INTERVAL_PER_NODE.saturating_mul(node_count).clamp(MIN_CALL_INTERVAL, MAX_CALL_INTERVAL)
-}
-
 /// Returns the time after the start of a call up to which its answer is known to be complete.
 ///
 /// The service sends an empty answer only after the full wait; it can send changes at any time.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -77,6 +77,8 @@
     pub peer_address: SocketAddr,
     /// Region of each data centre.
     pub regions: BTreeMap<DataCentreId, RegionId>,
+    /// Longest interval between two reads of the key-value service.
+    pub max_read_interval: Duration,
     /// Limits that apply to all nodes together.
     pub limits: FleetLimits,
     /// Client of the key-value service.
@@ -163,7 +165,7 @@
             events,
             Rc::clone(&node_count),
         );
-        actix_rt::spawn(state_feed.run());
+        actix_rt::spawn(state_feed.max_interval(parts.max_read_interval).run());
         let record = NodeRecord {
             address: parts.peer_address,
             incarnation: parts.incarnation,
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -92,6 +92,7 @@
                 data_centre: settings.data_centre,
                 peer_address: settings.peer_address,
                 regions: settings.regions,
+                max_read_interval: settings.max_read_interval,
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
--- a/crates/apricotknot-gateway/src/gateway_settings.rs
+++ b/crates/apricotknot-gateway/src/gateway_settings.rs
@@ -30,6 +30,8 @@
     pub regions: BTreeMap<DataCentreId, RegionId>,
     /// Ages of the configuration up to which requests are admitted or denied by it.
     pub staleness: StalenessLimits,
+    /// Longest interval between two reads of the key-value service.
+    pub max_read_interval: Duration,
     /// Longest duration of a planned stop.
     pub stop_timeout: Duration,
     /// Limit of the retries that all nodes together send.
--- a/crates/apricotknot/src/settings/gateway_node_settings.rs
+++ b/crates/apricotknot/src/settings/gateway_node_settings.rs
@@ -32,6 +32,15 @@
 /// configuration is not older than `apply_ms` minus this margin.
 const APPLY_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time within `drain_ms` in which a call of the key-value service may fail and be made again.
+///
+/// Nodes must learn within `drain_ms` that an endpoint leaves, so they read at intervals of the
+/// rest.
+const READ_MARGIN: Duration = Duration::from_millis(2_600);
+
+/// Shortest and longest interval between two reads of the key-value service.
+const READ_INTERVALS: [Duration; 2] = [Duration::from_millis(300), Duration::from_secs(1)];
+
 /// Holds all settings that a gateway node reads from its file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewayNodeSettings {
@@ -79,6 +88,8 @@
     let mut section = SectionReader::new(path, ini, "gateway");
     let revoke_time = section.milliseconds("revoke_ms", 5_000, 1_000..=600_000)?;
     let apply_time = section.milliseconds("apply_ms", 3_000, 1_000..=600_000)?;
+    let drain_time = section.milliseconds("drain_ms", 3_000, 1_000..=600_000)?;
+    let [shortest, longest] = READ_INTERVALS;
     let gateway = GatewaySettings {
         node: identity.name.clone(),
         data_centre: identity.data_centre.clone(),
@@ -91,6 +102,7 @@
             max_admit_age: revoke_time.saturating_sub(REVOKE_MARGIN),
             max_deny_age: apply_time.saturating_sub(APPLY_MARGIN),
         },
+        max_read_interval: drain_time.saturating_sub(READ_MARGIN).clamp(shortest, longest),
         stop_timeout: seconds(&mut section, "stop_s", 8.0)?,
         retries: read_retries(SectionReader::new(path, ini, "retries"))?,
     };
--- a/crates/apricotknot/tests/gateway_settings.rs
+++ b/crates/apricotknot/tests/gateway_settings.rs
@@ -29,6 +29,15 @@
     assert!((file.gateway.retries.slack - 104.0).abs() < f64::EPSILON);
 }
 
+#[test]
+fn reads_of_the_store_leave_time_for_a_failed_call_before_a_drain_is_due() {
+    for (drain_ms, interval_ms) in [(1_000, 300), (2_000, 300), (3_000, 400), (9_000, 1_000)] {
+        let text = VALID_SETTINGS.replace("stop_s = 8", &format!("drain_ms = {drain_ms}"));
+        let interval = parse(&text).expect("sound settings").gateway.max_read_interval;
+        assert_eq!(interval, Duration::from_millis(interval_ms), "drain_ms = {drain_ms}");
+    }
+}
+
 #[test]
 fn faults_are_reported_by_kind() {
     let cases = [
@@ -59,6 +68,7 @@
         ("{{internalPorts.0}}", "7340"),
         ("{{bounds.revokeMs}}", "5000"),
         ("{{bounds.configApplyMs}}", "3000"),
+        ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetSlack}}", "104"),
