gateway: a planned stop waits for slow readers; slow bodies go on, dribbled ones end

A call counted as open until its answer was known, not until it was written, so a planned stop ended the process under a caller that reads slowly. A body of which a byte arrived within each idle timeout held its connection without end; so did a caller that read nothing of its answer, while one that read a large answer slowly was cut after 2 s when its connection was to be closed. Change: a call is open until its answer is written, also if its task ends early. Bodies and answers end by two bounds: the longest silence, and a least rate (64 bytes/s in, 32 KiB/s out). Seen failing first: gateway::a_planned_stop_waits_until_slow_callers_have_read_their_answers (answer cut).

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -29,15 +29,22 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::BodyProgress;
 use super::ConnectionError;
 use super::IncomingRequest;
 
 /// Bytes of a header line beside its name and value: a colon, a space and the line end.
 const HEADER_LINE_OVERHEAD: usize = 4;
 
-/// Longest time to write the buffered output before a connection is closed.
+/// Longest time to close a connection whose output has been written.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time in which a caller may read nothing of its answer.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Least rate, in bytes per second, at which a caller has to read its answer.
+const MIN_READ_RATE: f64 = 32.0 * 1_024.0;
+
 /// Longest time for which input is discarded, so that the caller can read an answer that was
 /// sent before its request was read completely.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -156,7 +163,7 @@
         self.is_closing = true;
     }
 
-    /// Writes the buffered output to the connection.
+    /// Writes the buffered output to the connection, however long that takes.
     ///
     /// # Errors
     ///
@@ -165,6 +172,17 @@
         poll_fn(|context| self.poll_flush(context)).await
     }
 
+    /// Writes the buffered output of a complete answer to the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection broke, or if the caller hardly reads.
+    pub async fn finish_output(&mut self) -> Result<(), ConnectionError> {
+        let earned = Duration::from_secs_f64(self.buffered_bytes as f64 / MIN_READ_RATE);
+        let flushed = tokio::time::timeout(UNREAD_TIMEOUT + earned, self.flush()).await;
+        flushed.unwrap_or(Err(ConnectionError::Closed))
+    }
+
     /// Writes the buffered output, and returns only when the caller has closed the connection.
     ///
     /// Also returns if the connection breaks or the caller sends bytes that are not a request. A
@@ -174,9 +192,9 @@
         poll_fn(|context| self.poll_closed(context)).await;
     }
 
-    /// Writes the buffered output and closes the connection; each step has a timeout.
+    /// Writes the buffered output and closes the connection; each step has a time limit.
     pub async fn close(mut self) {
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.flush()).await;
+        let _ = self.finish_output().await;
         if self.has_unread_input {
             // Closing a connection with unread input resets it, and the caller loses the answer.
             self.has_unread_input = false;
@@ -237,12 +255,16 @@
             self.flush().await?;
         }
         let mut body = BytesMut::with_capacity(declared.unwrap_or_default());
+        let began = Instant::now();
+        let mut progress = BodyProgress::new(limits.idle_timeout);
         loop {
-            // The timeout applies to each part: a slow caller may go on, a silent one may not.
-            let part_end = Instant::now() + limits.idle_timeout;
+            let part_end = Instant::now() + progress.time_left(began.elapsed());
             match timeout_at(part_end, self.next_message()).await {
                 Err(_) => return Err(ConnectionError::BodyTimeout),
-                Ok(Ok(Message::Chunk(Some(part)))) => body.extend_from_slice(&part),
+                Ok(Ok(Message::Chunk(Some(part)))) => {
+                    progress.record(part.len());
+                    body.extend_from_slice(&part);
+                },
                 Ok(Ok(Message::Chunk(None))) => return Ok(body.freeze()),
                 Ok(Ok(Message::Item(_))) => return Err(ConnectionError::Malformed),
                 Ok(Err(error)) => return Err(error),
--- a/crates/apricotknot-gateway/src/caller/mod.rs
+++ b/crates/apricotknot-gateway/src/caller/mod.rs
@@ -1,10 +1,12 @@
 //! HTTP connections of callers.
 
+mod body_progress;
 mod connection;
 mod connection_error;
 mod hop_headers;
 mod incoming;
 
+pub use body_progress::BodyProgress;
 pub use connection::CallerConnection;
 pub use connection_error::ConnectionError;
 pub use hop_headers::remove_hop_by_hop_headers;
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -1,8 +1,10 @@
 //! Session of one caller's connection: it serves the requests one after the other.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
 
 use actix_rt::net::TcpStream;
+use prometheus_client::metrics::gauge::Gauge;
 use slog::info;
 
 use super::AdmittedCall;
@@ -11,6 +13,7 @@
 use super::call_driver::CallDriver;
 use super::call_driver::CallOutcome;
 use crate::CallLabels;
+use crate::GatewayMetrics;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::IncomingRequest;
@@ -20,6 +23,24 @@
 /// Value of the metrics label `kind` for calls without a route.
 const NO_KIND: &str = "none";
 
+/// Counts a call as open until it is dropped, also if its task ends early.
+struct OpenCall {
+    open_calls: Gauge<i64, AtomicI64>,
+}
+
+impl OpenCall {
+    fn begin(metrics: &GatewayMetrics) -> Self {
+        metrics.open_calls.inc();
+        Self { open_calls: metrics.open_calls.clone() }
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.open_calls.dec();
+    }
+}
+
 /// Serves the requests of one connection.
 pub struct CallerSession<P> {
     context: TrafficContext<P>,
@@ -38,6 +59,8 @@
         loop {
             let limits = self.context.shared.desired().map(|desired| desired.limits);
             let request = self.connection.read_request(&limits.unwrap_or_default()).await;
+            // A call is open until its answer has been written, not only until it is known.
+            let open = OpenCall::begin(&self.context.metrics);
             let is_reusable = match request {
                 Ok(request) => self.serve(request).await,
                 Err(error) => {
@@ -45,18 +68,21 @@
                     false
                 },
             };
-            if !is_reusable || self.connection.flush().await.is_err() {
+            if !is_reusable {
+                self.connection.close().await;
+                return;
+            }
+            if self.connection.finish_output().await.is_err() {
                 break;
             }
+            drop(open);
         }
         self.connection.close().await;
     }
 
     /// Serves one request; returns whether the connection can carry another one.
     async fn serve(&mut self, request: IncomingRequest) -> bool {
-        self.context.metrics.open_calls.inc();
         let outcome = self.drive(request).await;
-        self.context.metrics.open_calls.dec();
         match outcome {
             CallOutcome::Answered | CallOutcome::Fault(_) => self.connection.is_reusable(),
             CallOutcome::Truncated | CallOutcome::CallerDisconnected => {
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -46,6 +46,8 @@
     WrongRequestId,
     /// Requests run and are answered with status 500.
     ServerError,
+    /// Answers of calls have this number of bytes.
+    LargeAnswer(usize),
 }
 
 /// Describes one request that an endpoint ran.
@@ -299,11 +301,20 @@
     };
     let is_text = matches!(fault, EndpointFault::DisconnectAfterThenText(_))
         && record.last_event_id.is_some();
+    let large_length = match fault {
+        EndpointFault::LargeAnswer(length) => Some(length),
+        _ => None,
+    };
     let status = if is_failing { 500 } else { 200 };
     let reply = match call.header("token-count") {
         Some(_) if !is_failing && !is_text => {
             HttpReply::stream("text/event-stream", events(record, fault, interval, guard))
         },
+        None if large_length.is_some() => {
+            guard.mark_complete();
+            let length = large_length.unwrap_or_default();
+            HttpReply::bytes(status, "text/plain", Bytes::from(vec![b'x'; length]))
+        },
         _ if is_text => {
             guard.mark_complete();
             HttpReply::bytes(status, "text/plain", Bytes::from_static(b"upstream failed\n\n"))
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -13,6 +13,9 @@
 
 use apricotknot_standin::users_platform::EndpointFault;
 use apricotknot_standin::users_platform::EndpointServer;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use gateway_fleet::Fleet;
 use gateway_fleet::expected_stream_body;
@@ -307,6 +310,31 @@
     assert!(fleet.store.keys("apricotknot/nodes/").is_empty());
 }
 
+#[test]
+fn a_planned_stop_waits_until_slow_callers_have_read_their_answers() {
+    /// Far more than the buffers of the system hold for one connection.
+    const ANSWER_BYTES: usize = 3_900_000;
+    let mut fleet = Fleet::start("unread", 1);
+    fleet.set_plain_fault(EndpointFault::LargeAnswer(ANSWER_BYTES));
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    socket.connect(&fleet.nodes[0].caller_address.into()).expect("a connection is opened");
+    let mut stream = TcpStream::from(socket);
+    stream.write_all(order_request("unread").as_bytes()).expect("the request is sent");
+    wait_until("the service has run the call", || fleet.plain_runs().len() == 1);
+    sleep(Duration::from_millis(200));
+    fleet.nodes[0].signal("-TERM");
+    wait_until("the node accepts no more requests", || {
+        let lines = fleet.nodes[0].log_lines();
+        lines.iter().any(|line| line["msg"] == "node: closed to requests")
+    });
+    sleep(Duration::from_secs(1));
+    let answer = read_answer(&mut stream);
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body.len(), ANSWER_BYTES);
+    assert_eq!(fleet.nodes[0].wait_for_exit(), Some(0));
+}
+
 #[test]
 fn a_stopping_node_refuses_new_requests() {
     let mut fleet = Fleet::start("late", 1);
