gateway: a stream of which a byte arrives now and then goes on at another endpoint

The silence of an endpoint was counted from the last bytes, so an endpoint that sent a byte now and then kept a stream until its deadline. Change: progress is the head, a part of a body, and in streams a complete event. An answer that is cut short is not waited for longer because much of it is unread. Seen failing first: endless_answers::stream_of_which_a_byte_arrives_now_and_then_goes_on_at_another_endpoint (answer cut after the deadline of 8 s).

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -156,6 +156,8 @@
     pub fn abort(&mut self) {
         self.is_closing = true;
         self.has_unread_input = false;
+        // The caller need not read the rest of an answer that is of no use to it.
+        self.buffered_bytes = 0;
     }
 
     /// Closes the connection after the next answer, and announces it in the answer's head.
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -24,8 +24,11 @@
     pub(super) _reservations: ReservationGuard,
     /// Connection to the endpoint.
     pub(super) exchange: EndpointExchange,
-    /// Longest time without the next part of the answer, or `None` for no limit.
+    /// Longest time without progress of the answer, or `None` for no limit.
     pub(super) silence_limit: Option<Duration>,
+    /// Time at which the answer last made progress: its head, a part of its body or, in a stream, a
+    /// complete event.
+    pub(super) progress_at: MonotonicTime,
     /// Whether the endpoint was known to limit its request rate when the attempt was granted.
     pub(super) is_rate_limited: bool,
     /// Time until the answer was expected to begin.
@@ -37,6 +40,11 @@
 }
 
 impl OpenAttempt {
+    /// Returns the time until the answer counts as silent at `now`, if that is limited.
+    pub(super) fn silence_left(&self, now: MonotonicTime) -> Option<Duration> {
+        self.silence_limit.map(|limit| (self.progress_at + limit).saturating_sub(now))
+    }
+
     /// Returns the helper that `named` names by id or address, or the attempt's own endpoint if it
     /// names none of the helpers.
     pub(super) fn at_fault(&self, named: Option<&str>) -> EndpointId {
--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -31,6 +31,7 @@
                 },
                 Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
                 Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_BUFFERED_ANSWER_BYTES => {
+                    open.progress_at = self.now();
                     body.extend_from_slice(&part);
                 },
                 Ok(Ok(Some(_))) => {
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -246,6 +246,7 @@
                     expected_start: grant.expected_start,
                     has_begun: false,
                     sent_at: self.now(),
+                    progress_at: self.now(),
                 })
             },
         }
@@ -267,7 +268,10 @@
         match self.next_step(&mut open, EndpointExchange::read_head).await {
             Err(reason) => Err(self.interrupt_attempt(open.guard, &open.endpoint, reason)),
             Ok(Err(error)) => Err(self.end_broken_attempt(open, &error)),
-            Ok(Ok(head)) => self.check_head(open, head),
+            Ok(Ok(head)) => {
+                open.progress_at = self.now();
+                self.check_head(open, head)
+            },
         }
     }
 
@@ -465,7 +469,8 @@
         step: impl AsyncFn(&mut EndpointExchange) -> T,
     ) -> Result<T, WaitInterrupt> {
         loop {
-            match self.unless_interrupted(step(&mut open.exchange), open.silence_limit).await {
+            let silence_left = open.silence_left(self.now());
+            match self.unless_interrupted(step(&mut open.exchange), silence_left).await {
                 Err(WaitInterrupt::Silence) if !self.find_replacement(&open.endpoint).await => {
                     open.silence_limit = None;
                 },
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -52,6 +52,7 @@
                 Ok(Ok(Some(part))) => splitter.push(&part),
             }
             while let Some(event) = splitter.next_event() {
+                open.progress_at = self.now();
                 let is_first = !std::mem::replace(&mut open.has_begun, true);
                 if is_first {
                     self.record_answer_begun(&open);
--- a/crates/apricotknot/tests/endless_answers.rs
+++ b/crates/apricotknot/tests/endless_answers.rs
@@ -16,12 +16,15 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread::sleep;
 use std::thread::spawn;
+use std::time::Duration;
 
 use serde_json::json;
 
 use gateway_fleet::Answer;
 use gateway_fleet::Fleet;
+use gateway_fleet::expected_stream_body;
 use gateway_fleet::lookup_request;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
@@ -43,6 +46,8 @@
     start: &'static str,
     /// Sent until the gateway closes the connection; if it is empty, the endpoint closes it.
     repeated: &'static str,
+    /// Time between two of them; if it is zero, many are sent at once.
+    pause: Duration,
 }
 
 /// Starts an endpoint that answers each request by `script`.
@@ -79,8 +84,11 @@
     if stream.write_all(script.start.replace("REQUEST", id).as_bytes()).is_err() {
         return;
     }
-    let block = script.repeated.repeat(4_096 / script.repeated.len().max(1));
-    while !block.is_empty() && stream.write_all(block.as_bytes()).is_ok() {}
+    let count = if script.pause.is_zero() { 4_096 / script.repeated.len().max(1) } else { 1 };
+    let block = script.repeated.repeat(count);
+    while !block.is_empty() && stream.write_all(block.as_bytes()).is_ok() {
+        sleep(script.pause);
+    }
     let _ = stream.shutdown(std::net::Shutdown::Write);
     // Waits until the gateway has read everything.
     let _ = stream.read_to_end(&mut Vec::new());
@@ -138,7 +146,11 @@
 fn head_without_end_ends_with_the_call() {
     check_endless(
         "endless-head",
-        AnswerScript { start: "HTTP/1.1 200 OK\r\nx-filler: ", repeated: "a" },
+        AnswerScript {
+            start: "HTTP/1.1 200 OK\r\nx-filler: ",
+            repeated: "a",
+            pause: Duration::ZERO,
+        },
     );
 }
 
@@ -146,7 +158,11 @@
 fn header_lines_without_end_end_with_the_call() {
     check_endless(
         "endless-lines",
-        AnswerScript { start: "HTTP/1.1 200 OK\r\n", repeated: "x-filler: a\r\n" },
+        AnswerScript {
+            start: "HTTP/1.1 200 OK\r\n",
+            repeated: "x-filler: a\r\n",
+            pause: Duration::ZERO,
+        },
     );
 }
 
@@ -154,13 +170,20 @@
 fn informational_heads_without_end_end_with_the_call() {
     check_endless(
         "endless-hints",
-        AnswerScript { start: "", repeated: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+        AnswerScript {
+            start: "",
+            repeated: "HTTP/1.1 103 Early Hints\r\n\r\n",
+            pause: Duration::ZERO,
+        },
     );
 }
 
 #[test]
 fn bytes_that_are_no_answer_end_with_the_call() {
-    check_endless("endless-noise", AnswerScript { start: "", repeated: "\u{1}noise" });
+    check_endless(
+        "endless-noise",
+        AnswerScript { start: "", repeated: "\u{1}noise", pause: Duration::ZERO },
+    );
 }
 
 #[test]
@@ -170,6 +193,7 @@
         AnswerScript {
             start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\r\n",
             repeated: "filler",
+            pause: Duration::ZERO,
         },
     );
 }
@@ -182,6 +206,7 @@
             start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\
                     transfer-encoding: chunked\r\n\r\n",
             repeated: "6\r\nfiller\r\n",
+            pause: Duration::ZERO,
         },
     );
 }
@@ -193,6 +218,7 @@
         AnswerScript {
             start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\r\n",
             repeated: "data: x\n\n",
+            pause: Duration::ZERO,
         },
     );
 }
@@ -201,7 +227,8 @@
 fn stream_without_length_that_ends_after_an_event_is_complete() {
     let start = "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\r\n\
                  id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
-    let (fleet, _) = start_fleet("until-close", AnswerScript { start, repeated: "" });
+    let (fleet, _) =
+        start_fleet("until-close", AnswerScript { start, repeated: "", pause: Duration::ZERO });
     let answer = send_briefly(&fleet, &stream_request("stream", 1_000));
     assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
     assert_eq!(answer.body, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
@@ -213,8 +240,27 @@
 fn stream_without_length_that_ends_inside_an_event_is_truncated() {
     let start = "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\r\n\
                  id: 0\ndata: a\n\nid: 1\ndata";
-    let (fleet, _) = start_fleet("inside-event", AnswerScript { start, repeated: "" });
+    let (fleet, _) =
+        start_fleet("inside-event", AnswerScript { start, repeated: "", pause: Duration::ZERO });
     let answer = send_briefly(&fleet, &stream_request("stream", 1_000));
     assert!(!answer.is_complete, "{answer:?}");
     assert!(!answer.body.contains("id: 1"), "no part of a broken event is forwarded: {answer:?}");
 }
+
+#[test]
+fn stream_of_which_a_byte_arrives_now_and_then_goes_on_at_another_endpoint() {
+    let script = AnswerScript {
+        start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: sealed\r\n\
+                content-type: text/event-stream\r\n\r\nid: 0\ndata: piece 0\n\n",
+        repeated: ":",
+        pause: Duration::from_millis(200),
+    };
+    let (fleet, counts) = start_fleet("dribble", script);
+    fleet.announce("engine-1", "model", &fleet.engines[0], "ready");
+    wait_until("a stream begins at the endpoint that dribbles", || {
+        let stream = fleet.nodes[0].send(&stream_request("dribble", 1_000));
+        assert_eq!((stream.status, stream.is_complete), (200, true), "{stream:?}");
+        assert_eq!(stream.body, expected_stream_body());
+        counts.opened.load(Ordering::SeqCst) > 0
+    });
+}
