--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -56,7 +56,16 @@
 /// [`MAX_DIRECT_NODES`].
 ///
 /// Work that nodes of other data centres give it becomes known later than that of nearby nodes.
-const REMOTE_COST: f64 = 0.15;
+const REMOTE_COST: f64 = 0.3;
+
+/// Cost of an endpoint whose last free slot would be taken, in units of request value, in such a
+/// fleet.
+///
+/// The more of its slots are in use, the more likely a request that is not known yet takes the rest.
+const CROWDING_COST: f64 = 0.8;
+
+/// Fraction of an endpoint's slots up to which there is no [`CROWDING_COST`].
+const UNCROWDED_FRACTION: f64 = 0.6;
 
 /// Retry delay that is sent to a caller when no endpoint had room in time.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
@@ -240,7 +249,7 @@
         may_help: now >= state.entry.cold_until && fleet.rate_limit(state, now).is_none(),
         backlog: load.backlog(now),
         helper_backlog: load.helper_backlog(now),
-        choice_cost: state.jitter * jitter_scale + remote_cost(fleet, state),
+        choice_cost: state.jitter * jitter_scale + staleness_cost(fleet, state, &load),
         load,
     }
 }
@@ -253,10 +262,17 @@
     (JITTER_PER_NODE * node_count.saturating_sub(NODES_WITHOUT_JITTER) as f64).min(MAX_JITTER)
 }
 
-/// Returns the cost of an endpoint that lies in another data centre.
-fn remote_cost(fleet: &FleetState, state: &EndpointState) -> f64 {
-    let is_large = fleet.node_count() > MAX_DIRECT_NODES;
-    if is_large && fleet.is_remote(&state.entry.data_centre) { REMOTE_COST } else { 0.0 }
+/// Returns the cost of what this node may not know yet of an endpoint's work.
+///
+/// In a small fleet, each node receives the choices of the others before its own next one.
+fn staleness_cost(fleet: &FleetState, state: &EndpointState, load: &EndpointLoad) -> f64 {
+    if fleet.node_count() <= MAX_DIRECT_NODES {
+        return 0.0;
+    }
+    let used_fraction = f64::from(load.running) / f64::from(state.entry.slots.max(1));
+    let crowding = (used_fraction - UNCROWDED_FRACTION) / (1.0 - UNCROWDED_FRACTION);
+    let remote = if fleet.is_remote(&state.entry.data_centre) { REMOTE_COST } else { 0.0 };
+    remote + CROWDING_COST * crowding.max(0.0)
 }
 
 /// Chooses the endpoint of a plain service with the lowest cost, which is mainly its slot usage.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -146,10 +146,7 @@
 ) -> Option<ScoredPlan> {
     let mut scored_candidates: Vec<ScoredCandidate<'_>> =
         candidates.iter().map(|candidate| score_candidate(engine, candidate, part_time)).collect();
-    scored_candidates.sort_by(|left, right| {
-        let (left, right) = (left.sort_key(), right.sort_key());
-        left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
-    });
+    scored_candidates.sort_by(|left, right| left.helper_cost().total_cmp(&right.helper_cost()));
     let runner = choose_runner(engine, &scored_candidates, query, count)?;
     let runner = scored_candidates.remove(runner);
     let helpers: Vec<&ScoredCandidate<'_>> = scored_candidates
@@ -200,10 +197,9 @@
 }
 
 impl ScoredCandidate<'_> {
-    /// Returns the key that orders helpers: the cost, then the time until ready with the cost of the choice.
-    fn sort_key(&self) -> (f64, Duration) {
-        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / OPPORTUNITY_COST);
-        (self.cost, self.helper_ready + choice_time)
+    /// Returns the cost of the endpoint as a helper, which grows with the time until it is ready.
+    fn helper_cost(&self) -> f64 {
+        self.cost + self.helper_ready.as_secs_f64() * OPPORTUNITY_COST + self.candidate.choice_cost
     }
 }
 
--- a/crates/apricotknot-gateway/src/peers/snapshot_router.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_router.rs
@@ -23,7 +23,7 @@
 use crate::clock::millis;
 
 /// Interval at which a data centre sends digests to each other one.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(200);
+const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Age beyond which a snapshot is left out of digests; earlier ones have held it.
 const MAX_DIGEST_AGE: Duration = Duration::from_millis(700);
