--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -16,6 +16,7 @@
 
 use super::AdmittedCall;
 use super::CallFault;
+use super::CallOutcome;
 use super::TrafficContext;
 use super::attempt::AnsweredAttempt;
 use super::attempt::AttemptFault;
@@ -59,39 +60,6 @@
 /// Shortest silence after which another endpoint is tried.
 const MIN_SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
-/// Describes how a call ended, for the log and the metrics.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum CallOutcome {
-    /// An endpoint's answer was forwarded completely.
-    Answered,
-    /// The gateway answered with an error of its own.
-    Fault(CallFault),
-    /// The answer ended early after a part of it was forwarded.
-    Truncated,
-    /// The caller closed its connection.
-    CallerDisconnected,
-}
-
-impl CallOutcome {
-    /// Returns the name used in metrics and logs.
-    pub(super) fn name(&self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Fault(fault) => fault.name(),
-            Self::Truncated => "cut",
-            Self::CallerDisconnected => "caller_gone",
-        }
-    }
-
-    /// Returns the message of the error that the gateway answered with, if it did.
-    pub(super) fn cause(&self) -> Option<String> {
-        match self {
-            Self::Fault(fault) => Some(fault.to_string()),
-            Self::Answered | Self::Truncated | Self::CallerDisconnected => None,
-        }
-    }
-}
-
 /// Runs one call to its end.
 pub(super) struct CallDriver<'a, P> {
     pub(super) context: &'a TrafficContext<P>,
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -9,9 +9,9 @@
 use slog::info;
 use slog::warn;
 
+use super::CallOutcome;
 use super::attempt::OpenAttempt;
 use super::call_driver::CallDriver;
-use super::call_driver::CallOutcome;
 use crate::CallLabels;
 use crate::clock::millis;
 use crate::control::ControlCommand;
--- a/crates/apricotknot-gateway/src/driver/mod.rs
+++ b/crates/apricotknot-gateway/src/driver/mod.rs
@@ -5,6 +5,7 @@
 mod buffered_relay;
 mod call_driver;
 mod call_fault;
+mod call_outcome;
 mod call_telemetry;
 mod context;
 mod event_relay;
@@ -17,3 +18,5 @@
 pub use call_fault::CallFault;
 pub use context::TrafficContext;
 pub use session::CallerSession;
+
+use call_outcome::CallOutcome;
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -7,9 +7,9 @@
 use apricotknot_core::types::EndpointId;
 
 use super::CallFault;
+use super::CallOutcome;
 use super::attempt::WaitInterrupt;
 use super::call_driver::CallDriver;
-use super::call_driver::CallOutcome;
 use crate::control::EndpointGrant;
 use crate::control::PlacementRequest;
 use crate::protocol::CallProtocol;
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -9,9 +9,9 @@
 
 use super::AdmittedCall;
 use super::CallFault;
+use super::CallOutcome;
 use super::TrafficContext;
 use super::call_driver::CallDriver;
-use super::call_driver::CallOutcome;
 use crate::CallLabels;
 use crate::GatewayMetrics;
 use crate::caller::CallerConnection;
