apricotctl: explain tells the way of a request from the logs of nodes

Cause: an on-call engineer had to grep the logs of all nodes, order the lines and read JSON. Prompt parts are not searched for.

--- a/crates/apricotctl/src/client/error.rs
+++ b/crates/apricotctl/src/client/error.rs
@@ -9,6 +9,8 @@
 use plotters::drawing::DrawingAreaErrorKind;
 use thiserror::Error;
 
+use crate::log_trace::LogError;
+
 /// Exit status when the node refused the command and nothing was changed.
 const REFUSED_STATUS: u8 = 1;
 
@@ -43,6 +45,9 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// Logs cannot be searched.
+    #[error("{0}")]
+    Logs(#[from] LogError),
     /// A file holds an invalid resource.
     #[error("{path}: {fault}")]
     Resource {
@@ -98,7 +103,7 @@
     /// Returns the exit status of the command.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::File { .. } | Self::Resource { .. } => USAGE_STATUS,
+            Self::File { .. } | Self::Logs(_) | Self::Resource { .. } => USAGE_STATUS,
             Self::Unreachable { .. } => UNREACHABLE_STATUS,
             Self::Lost { .. } | Self::Answer { .. } => UNKNOWN_STATUS,
             Self::Refused(detail) => match (detail.executed, detail.code) {
--- a/crates/apricotctl/src/command/cli.rs
+++ b/crates/apricotctl/src/command/cli.rs
@@ -83,14 +83,7 @@
             ),
         )
         .subcommand(Command::new("status").about("Shows what is in force on how many nodes"))
-        .subcommand(
-            Command::new("explain").about("Shows where a request ran, and why").arg(
-                Arg::new("request")
-                    .value_name("REQUEST")
-                    .required(true)
-                    .help("Value of the answer's x-request-id header"),
-            ),
-        )
+        .subcommand(explain_command())
         .subcommand(report_command())
 }
 
@@ -158,6 +151,33 @@
         )
 }
 
+fn explain_command() -> Command {
+    Command::new("explain")
+        .about("Shows where a request ran, and why")
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST")
+                .required(true)
+                .help("Value of the answer's x-request-id header; with --by, another id or name"),
+        )
+        .arg(
+            Arg::new("logs")
+                .long("logs")
+                .value_name("PATH")
+                .action(ArgAction::Append)
+                .help("Search these log files of nodes, or all files of a directory, instead"),
+        )
+        .arg(
+            Arg::new("by")
+                .long("by")
+                .value_name("KIND")
+                .requires("logs")
+                .value_parser(["request", "endpoint", "data-centre", "version"])
+                .default_value("request")
+                .help("What to search the logs for"),
+        )
+}
+
 fn report_command() -> Command {
     let burn = Command::new("burn")
         .about("Shows how fast the error budgets burn, joined over all nodes given by --server")
--- a/crates/apricotctl/src/command/run.rs
+++ b/crates/apricotctl/src/command/run.rs
@@ -11,11 +11,13 @@
 use super::cli::resolve_servers;
 use super::show::describe;
 use super::show::explain;
+use super::show::explain_from_logs;
 use super::show::get;
 use super::show::status;
 use super::show::watch;
 use crate::client::ApiClient;
 use crate::client::ClientError;
+use crate::log_trace::LogSelector;
 use crate::output::OutputFormat;
 
 /// Runs the command that the arguments name.
@@ -46,7 +48,14 @@
             change(&client, &key_argument(arguments), command, format).await
         },
         "status" => status(&client, format).await,
-        "explain" => explain(&client, string_argument(arguments, "request"), format).await,
+        "explain" => match arguments.get_many::<String>("logs") {
+            Some(logs) => {
+                let by = string_argument(arguments, "by");
+                let selector = LogSelector::new(by, string_argument(arguments, "request"));
+                explain_from_logs(&logs.cloned().collect::<Vec<_>>(), &selector, format)
+            },
+            None => explain(&client, string_argument(arguments, "request"), format).await,
+        },
         "report" => match arguments.subcommand() {
             Some((_, arguments)) => {
                 let html = arguments.get_one::<String>("html").map(String::as_str);
--- a/crates/apricotctl/src/command/show.rs
+++ b/crates/apricotctl/src/command/show.rs
@@ -13,6 +13,9 @@
 
 use crate::client::ApiClient;
 use crate::client::ClientError;
+use crate::log_trace::LogSelector;
+use crate::log_trace::print_trace;
+use crate::log_trace::read_logs;
 use crate::output::OutputFormat;
 use crate::output::TextTable;
 use crate::output::describe_record;
@@ -158,6 +161,22 @@
     last_error.map_or(Ok(()), Err)
 }
 
+/// Shows what logs hold about a request, an endpoint, a data centre or a version.
+pub(super) fn explain_from_logs(
+    paths: &[String],
+    selector: &LogSelector,
+    format: OutputFormat,
+) -> Result<(), ClientError> {
+    let trace = read_logs(paths, selector)?;
+    match format {
+        OutputFormat::Json => print_json(&trace),
+        OutputFormat::Table => {
+            print_trace(&trace);
+            Ok(())
+        },
+    }
+}
+
 fn print_explanation(
     explanation: &RequestExplanation,
     format: OutputFormat,
--- a/crates/apricotctl/src/main.rs
+++ b/crates/apricotctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod command;
+mod log_trace;
 mod output;
 mod report;
 
