--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -16,6 +16,7 @@
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
 use super::endpoint_state::EndpointState;
+use super::prompt_split::HelperOrder;
 use super::prompt_split::MAX_ENDPOINTS;
 use super::prompt_split::PlacementCandidate;
 use super::prompt_split::ScoredPlan;
@@ -186,7 +187,7 @@
         candidate_for(fleet, state, load, jitter_scale, now)
     });
     let plan = match engine {
-        Some(engine) => best_plan(engine, candidates.collect(), query, now),
+        Some(engine) => best_plan(engine, candidates.collect(), helper_order(fleet), query, now),
         None => best_plain_plan(candidates.collect()),
     };
     decide(plan, engine, query, endpoint_count, position.rank, now)
@@ -262,6 +263,14 @@
     (JITTER_PER_NODE * node_count.saturating_sub(NODES_WITHOUT_JITTER) as f64).min(MAX_JITTER)
 }
 
+/// Returns the order of helpers, by how late the work of other nodes becomes known.
+fn helper_order(fleet: &FleetState) -> HelperOrder {
+    match fleet.node_count() {
+        ..=MAX_DIRECT_NODES => HelperOrder::CostFirst,
+        _ => HelperOrder::CostAndTime,
+    }
+}
+
 /// Returns the cost of what this node may not know yet of an endpoint's work.
 ///
 /// In a small fleet, each node receives the choices of the others before its own next one.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -48,6 +48,18 @@
 /// Minimum memory that a helper holds for a request, in tokens.
 const MIN_HELPER_MEMORY: TokenCount = 4_000;
 
+/// Order in which endpoints are taken as helpers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HelperOrder {
+    /// Those that cost other requests least come first, then those that are ready soonest.
+    CostFirst,
+    /// The cost and the time until ready count together.
+    ///
+    /// Where work becomes known late, many nodes would otherwise take the few endpoints that seem to
+    /// cost nothing.
+    CostAndTime,
+}
+
 /// An endpoint that may run a request or be its helper.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -96,6 +108,7 @@
 pub(super) fn best_plan(
     engine: &EngineModel,
     candidates: Vec<PlacementCandidate>,
+    order: HelperOrder,
     query: &PlacementQuery,
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
@@ -116,7 +129,7 @@
         if is_too_short || is_too_long {
             return None;
         }
-        plan_with_count(engine, &candidates, query, count, part_time, now)
+        plan_with_count(engine, &candidates, order, query, (count, part_time), now)
     });
     let plans =
         plans.map(|plan| ScoredPlan { net_value: plan.net_value - opportunity_cost, ..plan });
@@ -139,14 +152,17 @@
 fn plan_with_count(
     engine: &EngineModel,
     candidates: &[PlacementCandidate],
+    order: HelperOrder,
     query: &PlacementQuery,
-    count: usize,
-    part_time: Duration,
+    (count, part_time): (usize, Duration),
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let mut scored_candidates: Vec<ScoredCandidate<'_>> =
         candidates.iter().map(|candidate| score_candidate(engine, candidate, part_time)).collect();
-    scored_candidates.sort_by(|left, right| left.helper_cost().total_cmp(&right.helper_cost()));
+    scored_candidates.sort_by(|left, right| {
+        let (left, right) = (left.sort_key(order), right.sort_key(order));
+        left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+    });
     let runner = choose_runner(engine, &scored_candidates, query, count)?;
     let runner = scored_candidates.remove(runner);
     let helpers: Vec<&ScoredCandidate<'_>> = scored_candidates
@@ -197,9 +213,14 @@
 }
 
 impl ScoredCandidate<'_> {
-    /// Returns the cost of the endpoint as a helper, which grows with the time until it is ready.
-    fn helper_cost(&self) -> f64 {
-        self.cost + self.helper_ready.as_secs_f64() * OPPORTUNITY_COST + self.candidate.choice_cost
+    /// Returns the key that orders helpers.
+    fn sort_key(&self, order: HelperOrder) -> (f64, Duration) {
+        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / OPPORTUNITY_COST);
+        let ready = self.helper_ready + choice_time;
+        match order {
+            HelperOrder::CostFirst => (self.cost, ready),
+            HelperOrder::CostAndTime => (self.cost + ready.as_secs_f64() * OPPORTUNITY_COST, ready),
+        }
     }
 }
 
