gateway: a node logs when it can reach no endpoint, and when it can again

Nothing said that a node is cut off; operators had to infer it from attempts. Failed connections are counted per endpoint, service and node: one endpoint alone stands for itself, two of a service or three of any in a row for the way to them, until one is reached. No decision uses it yet. Misdirected answers (421) have an end of their own, gone: the address was reached.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -10,6 +10,8 @@
 use super::EndpointEntry;
 use super::LoadSnapshot;
 use super::NodeOrder;
+use super::PathChange;
+use super::PathHealth;
 use super::PlacementPlan;
 use super::PlacementQuery;
 use super::WaitSnapshot;
@@ -65,6 +67,8 @@
     peers: BTreeMap<NodeId, PeerView>,
     /// Nodes that share the limits of the fleet, this one included.
     pub(super) node_order: NodeOrder,
+    /// Whether this node reaches the endpoints by connections of its own.
+    path_health: PathHealth,
 }
 
 // Methods that change the state.
@@ -83,6 +87,7 @@
             own_work: HashMap::new(),
             peers: BTreeMap::new(),
             node_order: NodeOrder::new(node, []),
+            path_health: PathHealth::default(),
         }
     }
 
@@ -200,6 +205,30 @@
         }
     }
 
+    /// Records that this node could not connect to an endpoint; returns the change if it counts as
+    /// cut off from now on.
+    pub fn record_unreached(
+        &mut self,
+        endpoint: &EndpointId,
+        now: MonotonicTime,
+    ) -> Option<PathChange> {
+        let service = ServiceId::clone(&self.endpoints.get(endpoint)?.entry.service);
+        let count = self.endpoint_count(&service);
+        self.path_health.record_unreached(&service, endpoint, count, now)
+    }
+
+    /// Records that this node connected to an endpoint; returns the change if it was cut off until
+    /// now.
+    pub fn record_reached(
+        &mut self,
+        endpoint: &EndpointId,
+        now: MonotonicTime,
+    ) -> Option<PathChange> {
+        let service = ServiceId::clone(&self.endpoints.get(endpoint)?.entry.service);
+        let count = self.endpoint_count(&service);
+        self.path_health.record_reached(&service, count, now)
+    }
+
     /// Records that an endpoint began an answer after `ratio` times the expected time.
     pub fn record_slowdown(&mut self, endpoint: &str, ratio: f64, now: MonotonicTime) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
@@ -262,6 +291,20 @@
         self.services.get(service)
     }
 
+    /// Returns whether this node cannot connect to any endpoint of `service`, as far as it knows.
+    pub fn is_cut_off(&self, service: &ServiceId, now: MonotonicTime) -> bool {
+        self.path_health.is_cut_off(service, self.endpoint_count(service), now)
+    }
+
+    /// Returns whether this node failed to connect to an endpoint lately, and to none since.
+    pub fn is_path_suspect(&self, now: MonotonicTime) -> bool {
+        self.path_health.is_suspect(now)
+    }
+
+    fn endpoint_count(&self, service: &ServiceId) -> usize {
+        self.endpoints.values().filter(|state| state.entry.service == *service).count()
+    }
+
     /// Returns the region of a data centre, or `None` if it is not configured.
     pub fn region(&self, data_centre: &str) -> Option<&RegionId> {
         self.regions.get(data_centre)
--- a/crates/apricotknot-core/src/fleet/health_record.rs
+++ b/crates/apricotknot-core/src/fleet/health_record.rs
@@ -34,8 +34,10 @@
     Failed,
     /// The endpoint answered that it did not run the request.
     Refused,
-    /// The connection could not be established.
+    /// The connection could not be established: the endpoint or the way to it may be at fault.
     Unreachable,
+    /// The endpoint is not at its address, as an endpoint there or another node says.
+    Gone,
     /// The connection broke before the answer was complete.
     Broken,
     /// No answer arrived in time.
@@ -51,6 +53,7 @@
             Self::Failed => "failed",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
+            Self::Gone => "gone",
             Self::Broken => "broken",
             Self::Silent => "silent",
         }
@@ -92,7 +95,7 @@
                 self.backoff_until = self.backoff_until.max(now + REFUSED_BACKOFF);
                 return;
             },
-            AttemptEnd::Unreachable => {
+            AttemptEnd::Unreachable | AttemptEnd::Gone => {
                 self.backoff_until = now + self.backoff;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
                 1.0
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -114,6 +114,13 @@
         /// Receives the answer.
         reply: oneshot::Sender<bool>,
     },
+    /// A connection to an endpoint was established.
+    ///
+    /// Sent while [`SharedState::is_path_suspect`](super::SharedState::is_path_suspect) holds.
+    EndpointReached {
+        /// Endpoint that can be reached.
+        endpoint: EndpointId,
+    },
     /// An endpoint did not reserve memory for an attempt that it was to help.
     MemoryRefused {
         /// Endpoint that has no memory, or did not answer.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -239,6 +239,7 @@
             self.state.tick(self.clock.now());
             self.publish_notices();
             self.log_rate_changes();
+            self.publish_path_health();
             self.log_hold_notices();
             self.keep_lost_configuration();
             self.peers.send_due(&mut self.state, self.clock.now());
@@ -311,6 +312,23 @@
         }
     }
 
+    /// Logs whether endpoints can be reached, and asks the traffic threads for evidence.
+    fn publish_path_health(&mut self) {
+        for change in self.state.take_path_changes() {
+            let event = match change.is_cut_off {
+                true => "no endpoint can be reached from this node",
+                false => "endpoints can be reached from this node again",
+            };
+            warn!(
+                self.logger, "control: {}", event;
+                "service" => &*change.service, "endpoints" => change.endpoints,
+                "after_ms" => millis(change.after)
+            );
+        }
+        let is_suspect = self.state.fleet().is_path_suspect(self.clock.now());
+        self.shared.set_path_suspect(is_suspect);
+    }
+
     /// Logs what is kept although the key-value service lacks it, and what is not any more.
     fn log_hold_notices(&mut self) {
         for notice in self.state.take_hold_notices() {
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -30,6 +30,7 @@
     confirmed_at_ms: AtomicU64,
     is_stopping: AtomicBool,
     is_closed: AtomicBool,
+    is_path_suspect: AtomicBool,
     limits: StalenessLimits,
 }
 
@@ -41,6 +42,7 @@
             confirmed_at_ms: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
+            is_path_suspect: AtomicBool::new(false),
             limits,
         }
     }
@@ -55,6 +57,11 @@
         self.confirmed_at_ms.fetch_max(millis(moment), Ordering::Release);
     }
 
+    /// Publishes whether the node failed to connect to an endpoint lately, and to none since.
+    pub fn set_path_suspect(&self, is_suspect: bool) {
+        self.is_path_suspect.store(is_suspect, Ordering::Release);
+    }
+
     /// Records that the node is about to stop: it still accepts requests, but is not ready.
     pub fn mark_stopping(&self) {
         self.is_stopping.store(true, Ordering::Release);
@@ -87,6 +94,11 @@
         self.desired.borrow().is_some() && self.configuration_age(now) <= self.limits.max_deny_age
     }
 
+    /// Returns whether the control thread wants to know of connections that are established.
+    pub fn is_path_suspect(&self) -> bool {
+        self.is_path_suspect.load(Ordering::Acquire)
+    }
+
     /// Returns whether the node is about to stop.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Acquire)
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -12,6 +12,7 @@
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::LoadSnapshot;
+use apricotknot_core::fleet::PathChange;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateChange;
 use apricotknot_core::fleet::RetryLimiter;
@@ -78,6 +79,8 @@
     placement_count: u64,
     /// Changes of endpoints' limits that were not taken yet.
     rate_changes: Vec<RateChange>,
+    /// Changes of whether endpoints can be reached that were not taken yet.
+    path_changes: Vec<PathChange>,
     /// Whether the node's work, its waiting requests or its observations have changed since the
     /// changes were last taken.
     has_unsent_changes: bool,
@@ -116,6 +119,7 @@
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
             rate_changes: Vec::new(),
+            path_changes: Vec::new(),
             has_unsent_changes: false,
             desired: None,
             peer_secret: None,
@@ -149,6 +153,9 @@
                 // A closed channel means that the call has ended.
                 let _ = reply.send(self.fleet.is_still_permitted(attempt));
             },
+            ControlCommand::EndpointReached { endpoint } => {
+                self.path_changes.extend(self.fleet.record_reached(&endpoint, now));
+            },
             ControlCommand::MemoryRefused { endpoint } => {
                 self.fleet.record_memory_refused(&endpoint, now);
             },
@@ -213,6 +220,11 @@
         std::mem::take(&mut self.rate_changes)
     }
 
+    /// Takes the changes of whether endpoints can be reached since the last call.
+    pub fn take_path_changes(&mut self) -> Vec<PathChange> {
+        std::mem::take(&mut self.path_changes)
+    }
+
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
     pub fn next_snapshot(&mut self, now: MonotonicTime) -> LoadSnapshot {
         self.sequence += 1;
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -143,7 +143,13 @@
         self.fleet.record_end(attempt, end, now);
         // The endpoint may have room again.
         self.next_pass = now;
-        if let Some(endpoint) = runner.filter(|_| end == AttemptEnd::Unreachable) {
+        let Some(endpoint) = runner else {
+            return;
+        };
+        if end == AttemptEnd::Unreachable {
+            self.path_changes.extend(self.fleet.record_unreached(&endpoint, now));
+        }
+        if matches!(end, AttemptEnd::Unreachable | AttemptEnd::Gone) {
             self.quarantine.confirm_crashes(&endpoint, now);
         }
     }
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -181,7 +181,11 @@
             connect_timeout: CONNECT_TIMEOUT,
         };
         let opening = EndpointExchange::open(&self.context.http, request);
-        match self.unless_interrupted(opening, None).await {
+        let opened = self.unless_interrupted(opening, None).await;
+        if matches!(opened, Ok(Ok(_))) {
+            self.report_reached(&grant.endpoint);
+        }
+        match opened {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
             Err(_) => Err(CallInterrupt::Deadline),
             Ok(Err(error)) => {
@@ -256,7 +260,7 @@
         // The refusal of another request says nothing about this one, which may be running.
         if is_own && (metadata.is_misdirected || metadata.is_not_run) {
             let end = match metadata.is_misdirected {
-                true => AttemptEnd::Unreachable,
+                true => AttemptEnd::Gone,
                 false => AttemptEnd::Refused,
             };
             open.guard.set_end(end);
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -46,6 +46,14 @@
         self.context.metrics.answer_begin.observe(waited.as_secs_f64());
     }
 
+    /// Reports to the control thread that a connection was established, if it wants to know.
+    pub(super) fn report_reached(&self, endpoint: &EndpointId) {
+        if self.context.shared.is_path_suspect() {
+            let endpoint = Arc::clone(endpoint);
+            self.context.control.send(ControlCommand::EndpointReached { endpoint });
+        }
+    }
+
     /// Reports to the control thread what an answer states about the rate of its endpoint.
     ///
     /// Only an answer that the endpoint made for this request can state that there is no limit.
