--- a/crates/apricotknot-standin/src/users_platform/metadata.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -43,6 +43,24 @@
     }
 }
 
+/// Texts that one reader gets in place of others in the values of keys.
+///
+/// A node that reads other addresses of endpoints than the others uses other links to them.
+pub type TextReplacements = Vec<(String, String)>;
+
+/// Serves the contents of a [`MetadataServer`] to one reader, until it is dropped.
+#[derive(Debug)]
+pub struct MetadataView {
+    server: StandinServer,
+}
+
+impl MetadataView {
+    /// Returns the address of the view.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
 /// Runs a stand-in key-value service until it is dropped.
 #[derive(Debug)]
 pub struct MetadataServer {
@@ -62,11 +80,32 @@
         let is_down = Arc::new(AtomicBool::new(false));
         let (handler_state, handler_is_down) = (Arc::clone(&state), Arc::clone(&is_down));
         let server = StandinServer::start(address, |_| {
-            Rc::new(MetadataHandler { state: handler_state, is_down: handler_is_down })
+            Rc::new(MetadataHandler {
+                state: handler_state,
+                is_down: handler_is_down,
+                replacements: TextReplacements::new(),
+            })
         })?;
         Ok(Self { server, state, is_down })
     }
 
+    /// Serves the contents at another address as well, with `replacements` in the values.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the thread cannot be started.
+    pub fn start_view(
+        &self,
+        address: SocketAddr,
+        replacements: TextReplacements,
+    ) -> Result<MetadataView, StandinError> {
+        let (state, is_down) = (Arc::clone(&self.state), Arc::clone(&self.is_down));
+        let server = StandinServer::start(address, |_| {
+            Rc::new(MetadataHandler { state, is_down, replacements })
+        })?;
+        Ok(MetadataView { server })
+    }
+
     /// Writes a key with a JSON value, as an operator or an endpoint does.
     pub fn put(&self, key: &str, value: &Value) {
         self.lock()
@@ -129,6 +168,7 @@
 struct MetadataHandler {
     state: Arc<Mutex<MetadataState>>,
     is_down: Arc<AtomicBool>,
+    replacements: TextReplacements,
 }
 
 impl HttpHandler for MetadataHandler {
@@ -179,7 +219,7 @@
         let all = state.items.iter();
         let mut found: Vec<Value> = all
             .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
-            .map(|(key, item)| item_json(key, item))
+            .map(|(key, item)| self.item_json(key, item))
             .take(MAX_PAGE_ITEMS + 1)
             .collect();
         let is_truncated = found.len() > MAX_PAGE_ITEMS;
@@ -207,7 +247,7 @@
                 let new = state.history.iter();
                 let new =
                     new.filter(|change| change.revision > after && change.key.starts_with(&prefix));
-                (new.map(change_json).collect::<Vec<_>>(), state.revision)
+                (new.map(|change| self.change_json(change)).collect::<Vec<_>>(), state.revision)
             };
             if !events.is_empty() || Instant::now() >= deadline {
                 return HttpReply::json(200, &json!({"events": events, "storeRevision": revision}));
@@ -226,7 +266,7 @@
         if !is_met {
             let keys = expected.iter().filter_map(|condition| condition["key"].as_str());
             let items: Vec<Value> = keys
-                .filter_map(|key| state.items.get(key).map(|item| item_json(key, item)))
+                .filter_map(|key| state.items.get(key).map(|item| self.item_json(key, item)))
                 .collect();
             return HttpReply::json(412, &json!({"items": items}));
         }
@@ -242,6 +282,35 @@
         HttpReply::json(200, &json!({"revision": revision}))
     }
 
+    fn item_json(&self, key: &str, item: &StoredItem) -> Value {
+        json!({
+            "key": key,
+            "value": STANDARD.encode(self.replace(&item.value)),
+            "revision": item.revision,
+            "createdRev": item.created,
+            "lease": item.lease,
+        })
+    }
+
+    fn change_json(&self, change: &StoredChange) -> Value {
+        match &change.item {
+            Some(item) => self.item_json(&change.key, item),
+            None => json!({"key": change.key, "revision": change.revision, "tombstone": true}),
+        }
+    }
+
+    /// Returns a value as the reader of this address gets it.
+    fn replace(&self, value: &[u8]) -> Vec<u8> {
+        let Ok(text) = str::from_utf8(value) else {
+            return value.to_vec();
+        };
+        let replaced = self.replacements.iter().fold(text.to_owned(), |text, (from, to)| {
+            // The quotes keep an address from matching the start of a longer one.
+            text.replace(&format!("\"{from}\""), &format!("\"{to}\""))
+        });
+        replaced.into_bytes()
+    }
+
     fn grant_lease(&self, body: &Value) -> HttpReply {
         let ttl = body["ttlMs"].as_u64().unwrap_or(1_000);
         let lease = self.lock().grant_lease(Duration::from_millis(ttl));
@@ -249,23 +318,6 @@
     }
 }
 
-fn item_json(key: &str, item: &StoredItem) -> Value {
-    json!({
-        "key": key,
-        "value": STANDARD.encode(&item.value),
-        "revision": item.revision,
-        "createdRev": item.created,
-        "lease": item.lease,
-    })
-}
-
-fn change_json(change: &StoredChange) -> Value {
-    match &change.item {
-        Some(item) => item_json(&change.key, item),
-        None => json!({"key": change.key, "revision": change.revision, "tombstone": true}),
-    }
-}
-
 fn text(call: &HttpCall, name: &str) -> String {
     call.query_parameter(name).unwrap_or_default().replace("%2F", "/")
 }
--- a/crates/apricotknot-standin/src/users_platform/mod.rs
+++ b/crates/apricotknot-standin/src/users_platform/mod.rs
@@ -9,3 +9,5 @@
 pub use endpoint::ExecutionRecord;
 pub use metadata::MetadataCopy;
 pub use metadata::MetadataServer;
+pub use metadata::MetadataView;
+pub use metadata::TextReplacements;
--- a/crates/apricotknot/tests/support/fault_proxy.rs
+++ b/crates/apricotknot/tests/support/fault_proxy.rs
@@ -1,4 +1,5 @@
-//! A TCP proxy on the loopback interface that delays, blocks or resets its connections.
+//! A TCP proxy on the loopback interface that delays, blocks or resets its connections, and that
+//! refuses new ones or leaves them without an answer.
 
 use std::io;
 use std::io::ErrorKind;
@@ -10,18 +11,29 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
 
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 
 /// Interval at which a relay thread checks the faults that are set.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which a proxy looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Connections that fill the queue of a listener which accepts none.
+const QUEUE_FILL: usize = 3;
+
 /// Size of the buffer of a relay thread, in bytes.
 const BUFFER_BYTES: usize = 16 * 1_024;
 
@@ -34,6 +46,29 @@
     ToClient,
 }
 
+/// What becomes of new connections to a proxy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Admission {
+    /// They are relayed.
+    Open,
+    /// They are refused, as by a host without a listener.
+    Refused,
+    /// They get no answer, as behind a partition.
+    Unanswered,
+}
+
+/// Listener of a proxy, as long as it takes connections.
+#[derive(Debug)]
+enum ProxyListener {
+    Open(TcpListener),
+    Refused,
+    /// A listener whose queue is full, with the connections that fill it.
+    Unanswered {
+        _listener: Socket,
+        _queued: Vec<Socket>,
+    },
+}
+
 /// Faults that are set, shared with the relay threads.
 #[derive(Debug, Default)]
 struct LinkState {
@@ -42,6 +77,8 @@
     blocks_to_client: AtomicBool,
     /// Number of resets; a connection that was opened before the last one is reset.
     resets: AtomicU64,
+    /// Number of connections that were accepted.
+    accepted: AtomicUsize,
 }
 
 impl LinkState {
@@ -57,25 +94,54 @@
 pub(crate) struct FaultProxy {
     address: SocketAddr,
     state: Arc<LinkState>,
+    listener: Arc<Mutex<ProxyListener>>,
 }
 
 impl FaultProxy {
     /// Starts a proxy for `target`, which runs until the test process ends.
     pub(crate) fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("the proxy binds a port");
+        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), target)
+    }
+
+    /// Starts a proxy for `target` that listens at `address`.
+    pub(crate) fn start_at(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = bind_listener(address);
         let address = listener.local_addr().expect("the proxy has an address");
         let state = Arc::new(LinkState::default());
-        let proxy_state = Arc::clone(&state);
+        let listener = Arc::new(Mutex::new(ProxyListener::Open(listener)));
+        let proxy = Self { address, state: Arc::clone(&state), listener: Arc::clone(&listener) };
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            loop {
+                let Some(client) = accept(&listener) else {
+                    sleep(ACCEPT_INTERVAL);
+                    continue;
+                };
+                state.accepted.fetch_add(1, Ordering::Relaxed);
                 let Ok(target) = TcpStream::connect(target) else {
                     reset_connection(&client);
                     continue;
                 };
-                let _ = relay_both(&client, &target, &proxy_state);
+                let _ = relay_both(&client, &target, &state);
             }
         });
-        Self { address, state }
+        proxy
+    }
+
+    /// Sets what becomes of new connections.
+    pub(crate) fn set_admission(&self, admission: Admission) {
+        let mut listener = self.listener.lock().expect("the listener");
+        // The address is bound again only once it is free.
+        *listener = ProxyListener::Refused;
+        *listener = match admission {
+            Admission::Open => ProxyListener::Open(bind_listener(self.address)),
+            Admission::Refused => ProxyListener::Refused,
+            Admission::Unanswered => unanswered_listener(self.address),
+        };
+    }
+
+    /// Returns how many connections were accepted.
+    pub(crate) fn accepted(&self) -> usize {
+        self.state.accepted.load(Ordering::Relaxed)
     }
 
     /// Returns the address at which the proxy listens.
@@ -100,6 +166,40 @@
     }
 }
 
+fn bind_listener(address: SocketAddr) -> TcpListener {
+    let listener = TcpListener::bind(address).expect("the proxy binds its address");
+    listener.set_nonblocking(true).expect("the proxy polls its listener");
+    listener
+}
+
+/// Returns a listener that answers no further connection.
+fn unanswered_listener(address: SocketAddr) -> ProxyListener {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.set_reuse_address(true).expect("the address is reused");
+    listener.bind(&address.into()).expect("the proxy binds its address");
+    listener.listen(0).expect("the proxy listens");
+    let queued = (0..QUEUE_FILL).map(|_| {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_nonblocking(true).expect("a connection without waiting");
+        // The connection is established in the background.
+        let _ = socket.connect(&address.into());
+        socket
+    });
+    let queued = queued.collect();
+    ProxyListener::Unanswered { _listener: listener, _queued: queued }
+}
+
+/// Returns the next connection, if there is one.
+fn accept(listener: &Mutex<ProxyListener>) -> Option<TcpStream> {
+    let listener = listener.lock().expect("the listener");
+    let ProxyListener::Open(listener) = &*listener else {
+        return None;
+    };
+    let (stream, _) = listener.accept().ok()?;
+    stream.set_nonblocking(false).ok()?;
+    Some(stream)
+}
+
 /// Starts one relay thread for each direction of a connection.
 fn relay_both(client: &TcpStream, target: &TcpStream, state: &Arc<LinkState>) -> io::Result<()> {
     let initial_resets = state.resets.load(Ordering::Relaxed);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -22,6 +22,8 @@
 use apricotknot_standin::users_platform::EndpointServer;
 use apricotknot_standin::users_platform::ExecutionRecord;
 use apricotknot_standin::users_platform::MetadataServer;
+use apricotknot_standin::users_platform::MetadataView;
+use apricotknot_standin::users_platform::TextReplacements;
 use serde_json::Value;
 use serde_json::json;
 
@@ -73,6 +75,8 @@
     pub(crate) version: u64,
     /// Addresses at which nodes reach the endpoints and the store, by their own addresses.
     proxied_addresses: BTreeMap<SocketAddr, SocketAddr>,
+    /// What single nodes read of the store.
+    views: Vec<MetadataView>,
 }
 
 impl Fleet {
@@ -117,6 +121,7 @@
             nodes: Vec::new(),
             version: 7,
             proxied_addresses,
+            views: Vec::new(),
         };
         fleet.announce_all();
         fleet.configure(&[KEY]);
@@ -127,6 +132,17 @@
         fleet
     }
 
+    /// Starts one more node, which reads `replacements` in place of the addresses of endpoints.
+    pub(crate) fn add_node(&mut self, name: &str, replacements: TextReplacements) {
+        let view = self.store.start_view(any_loopback_address(), replacements);
+        let view = view.expect("a view of the store starts");
+        let store = view.address();
+        let node = self.start_node_at(name, self.nodes.len(), "revoke_ms = 3000", store);
+        self.views.push(view);
+        wait_until("a node is ready", || node.is_ready());
+        self.nodes.push(node);
+    }
+
     /// Registers all endpoints as ready.
     pub(crate) fn announce_all(&self) {
         for (index, engine) in self.engines.iter().enumerate() {
@@ -170,6 +186,10 @@
     }
 
     fn start_node(&self, name: &str, index: usize, limits: &str) -> Node {
+        self.start_node_at(name, index, limits, self.proxied_addresses[&self.store.address()])
+    }
+
+    fn start_node_at(&self, name: &str, index: usize, limits: &str, store: SocketAddr) -> Node {
         let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the node");
         let (caller_address, operations_address) = (next_node_address(), next_node_address());
@@ -177,10 +197,9 @@
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
              callers = {caller_address}\noperations = {operations_address}\nnews = {}\n{limits}\n\
-             stop_s = 8\n\n[store]\naddress = {}\n\n[data_centres]\nnorth = here\n\n\
+             stop_s = 8\n\n[store]\naddress = {store}\n\n[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
             next_node_address(),
-            self.proxied_addresses[&self.store.address()]
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = dir.join("log.jsonl");
@@ -398,7 +417,7 @@
 ///
 /// Outgoing connections use another loopback address, so none of them can occupy the port. Each
 /// process of tests has a loopback address of its own, so several can run at once.
-fn next_node_address() -> SocketAddr {
+pub(crate) fn next_node_address() -> SocketAddr {
     let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(127, NODE_NETWORK | high, middle, low), port))
