gateway: links to single endpoints that only other nodes reach are found and relayed

A node that still reached one of 23 engines counted as connected, lost that again with the next two failures, and went on so. A link counts as cut once the node could not connect and a peer could; a probe decides for all such links, so neither of the two findings depends on how many endpoints are cut off. Nodes with cut links are not chosen as relays.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -232,7 +232,17 @@
         for state in self.endpoints.values_mut() {
             state.confirm_unreached();
         }
-        self.path_health.record_reached(&service, count, now)
+        self.path_health.record_reached(&service, endpoint, count, now)
+    }
+
+    /// Records that another node connected to an endpoint for this one.
+    pub fn record_relayed(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+        self.path_health.record_relayed(endpoint, now);
+        if self.path_health.is_link_cut(endpoint, now)
+            && let Some(state) = self.endpoints.get_mut(endpoint)
+        {
+            state.forget_unreached();
+        }
     }
 
     /// Returns whether this node, which is cut off from `service`, is to try one of its endpoints.
@@ -318,6 +328,13 @@
         self.path_health.is_cut_off(service, self.endpoint_count(service), now)
     }
 
+    /// Returns whether this node cannot connect to an endpoint that may be sound.
+    pub fn is_link_cut(&self, endpoint: &EndpointId, now: MonotonicTime) -> bool {
+        let service = self.endpoints.get(endpoint).map(|state| &state.entry.service);
+        self.path_health.is_link_cut(endpoint, now)
+            || service.is_some_and(|service| self.is_cut_off(service, now))
+    }
+
     /// Returns the other nodes that reach the endpoints of `service`, each with the number of
     /// attempts that it runs and of connections that it relays.
     pub fn relays(
@@ -335,13 +352,15 @@
         })
     }
 
-    /// Returns the services whose endpoints this node cannot reach, as far as it knows.
+    /// Returns the services some of whose endpoints this node cannot reach, as far as it knows.
     pub fn cut_services(&self, now: MonotonicTime) -> Vec<ServiceId> {
-        if !self.is_path_suspect(now) {
-            return Vec::new();
-        }
-        let services = self.services.keys();
-        services.filter(|service| self.is_cut_off(service, now)).cloned().collect()
+        let is_cut = |service: &ServiceId| {
+            let mut endpoints = self.endpoints.values().map(|state| &state.entry);
+            self.is_cut_off(service, now)
+                || endpoints
+                    .any(|it| it.service == *service && self.path_health.is_link_cut(&it.id, now))
+        };
+        self.services.keys().filter(|service| is_cut(service)).cloned().collect()
     }
 
     /// Returns whether this node failed to connect to an endpoint lately, and to none since.
--- a/crates/apricotknot-core/src/fleet/path_health.rs
+++ b/crates/apricotknot-core/src/fleet/path_health.rs
@@ -4,6 +4,7 @@
 //! node that is cut off from them, and their other callers may be served all the while.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +39,14 @@
     pub endpoints: usize,
 }
 
+/// Endpoints that this node could not reach, while others did.
+#[derive(Clone, Debug, Default)]
+struct CutLinks {
+    endpoints: BTreeSet<EndpointId>,
+    /// Time until which they count as cut off without a further failure.
+    until: MonotonicTime,
+}
+
 /// Endpoints that could not be reached since a connection was last established.
 #[derive(Clone, Debug, Default)]
 struct FailureStreak {
@@ -64,6 +73,9 @@
 pub struct PathHealth {
     services: BTreeMap<ServiceId, FailureStreak>,
     node: FailureStreak,
+    /// When each endpoint could not be reached lately, whether others could or not.
+    failures: BTreeMap<EndpointId, MonotonicTime>,
+    cut_links: CutLinks,
     next_probes: BTreeMap<ServiceId, MonotonicTime>,
 }
 
@@ -80,6 +92,11 @@
         now: MonotonicTime,
     ) -> Option<PathChange> {
         let was_cut_off = self.is_cut_off(service, endpoint_count, now);
+        self.failures.retain(|_, failed| now < *failed + FAILURE_LIFETIME);
+        self.failures.insert(Arc::clone(endpoint), now);
+        if self.cut_links.endpoints.contains(endpoint) {
+            self.cut_links.until = now + FAILURE_LIFETIME;
+        }
         self.node.record(endpoint, now);
         let streak = self.services.entry(Arc::clone(service)).or_default();
         streak.record(endpoint, now);
@@ -87,12 +104,28 @@
         (is_cut_off && !was_cut_off).then(|| self.change(service, true, now))
     }
 
+    /// Records that another node connected to an endpoint: if this one could not, its link is cut.
+    pub fn record_relayed(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+        let is_unreached =
+            self.failures.get(endpoint).is_some_and(|failed| now < *failed + FAILURE_LIFETIME);
+        if !is_unreached {
+            return;
+        }
+        if now >= self.cut_links.until {
+            self.cut_links.endpoints.clear();
+        }
+        self.cut_links.endpoints.insert(Arc::clone(endpoint));
+        self.cut_links.until = now + FAILURE_LIFETIME;
+    }
+
     /// Records that a connection to an endpoint of `service` was established.
     ///
-    /// Returns the change if the node was cut off until now.
+    /// Returns the change if the node was cut off until now. Once one of several cut links works
+    /// again, all are tried again.
     pub fn record_reached(
         &mut self,
         service: &ServiceId,
+        endpoint: &EndpointId,
         endpoint_count: usize,
         now: MonotonicTime,
     ) -> Option<PathChange> {
@@ -100,6 +133,10 @@
         let change = was_cut_off.then(|| self.change(service, false, now));
         self.services.remove(service);
         self.node = FailureStreak::default();
+        self.failures.remove(endpoint);
+        if self.cut_links.endpoints.contains(endpoint) {
+            self.cut_links = CutLinks::default();
+        }
         change
     }
 
@@ -139,6 +176,11 @@
             || self.services.get(service).is_some_and(|streak| streak.count(now) >= needed)
     }
 
+    /// Returns whether this node cannot reach an endpoint that others reach.
+    pub fn is_link_cut(&self, endpoint: &EndpointId, now: MonotonicTime) -> bool {
+        now < self.cut_links.until && self.cut_links.endpoints.contains(endpoint)
+    }
+
     /// Returns whether a connection failed lately that no later one has explained.
     pub fn is_suspect(&self, now: MonotonicTime) -> bool {
         self.node.count(now) > 0 || self.services.values().any(|streak| streak.count(now) > 0)
--- a/crates/apricotknot-core/tests/path_health.rs
+++ b/crates/apricotknot-core/tests/path_health.rs
@@ -37,7 +37,7 @@
     assert_eq!(path.record_unreached(&service, &endpoint(3), ENDPOINTS, later), None);
     let other = ServiceId::from("desk");
     assert!(path.is_cut_off(&other, ENDPOINTS, later), "three endpoints stand for all services");
-    let change = path.record_reached(&service, ENDPOINTS, later);
+    let change = path.record_reached(&service, &endpoint(4), ENDPOINTS, later);
     assert!(change.is_some_and(|it| !it.is_cut_off));
     assert!(!path.is_cut_off(&service, ENDPOINTS, later) && !path.is_suspect(later));
 }
@@ -49,7 +49,7 @@
         let now = NOW + Duration::from_millis(step * 100);
         path.record_unreached(&service, &endpoint(step as usize % 4), ENDPOINTS, now);
         assert!(!path.is_cut_off(&service, ENDPOINTS, now));
-        path.record_reached(&service, ENDPOINTS, now);
+        path.record_reached(&service, &endpoint(9), ENDPOINTS, now);
     }
 }
 
@@ -68,3 +68,24 @@
     assert!(path.record_unreached(&service, &endpoint(1), 1, NOW).is_some());
     assert!(!path.is_cut_off(&ServiceId::from("model"), ENDPOINTS, NOW));
 }
+
+#[test]
+fn link_of_an_endpoint_that_only_others_reach_counts_as_cut_until_it_works() {
+    let (mut path, service) = (PathHealth::default(), ServiceId::from("model"));
+    path.record_relayed(&endpoint(1), NOW);
+    assert!(!path.is_link_cut(&endpoint(1), NOW), "this node has not tried it");
+    for number in [1, 2] {
+        path.record_unreached(&service, &endpoint(number), ENDPOINTS, NOW);
+        path.record_relayed(&endpoint(number), NOW);
+    }
+    path.record_reached(&service, &endpoint(3), ENDPOINTS, NOW);
+    assert!(!path.is_cut_off(&service, ENDPOINTS, NOW));
+    assert!(path.is_link_cut(&endpoint(1), NOW) && path.is_link_cut(&endpoint(2), NOW));
+    assert!(!path.is_link_cut(&endpoint(3), NOW));
+    let later = NOW + Duration::from_secs(4);
+    path.record_unreached(&service, &endpoint(1), ENDPOINTS, later);
+    let much_later = NOW + Duration::from_secs(8);
+    assert!(path.is_link_cut(&endpoint(2), much_later), "a failed probe stands for all");
+    path.record_reached(&service, &endpoint(1), ENDPOINTS, much_later);
+    assert!(!path.is_link_cut(&endpoint(2), much_later), "and so does one that succeeds");
+}
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -50,7 +50,7 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub address: SocketAddr,
-    /// Way to the endpoint, and to those that prefill parts of the prompt.
+    /// Way to the endpoint.
     pub path: EndpointPath,
     /// Endpoints that prefill parts of the prompt.
     pub helpers: Vec<HelperGrant>,
@@ -74,6 +74,8 @@
     pub endpoint: EndpointId,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Way to the endpoint.
+    pub path: EndpointPath,
     /// Memory that it has to reserve, in tokens; 0 if it only prefills.
     pub memory: TokenCount,
 }
@@ -132,6 +134,11 @@
         /// Whether it can be reached.
         is_reached: bool,
     },
+    /// Another node connected to an endpoint for this one.
+    EndpointRelayed {
+        /// Endpoint that the other node reaches.
+        endpoint: EndpointId,
+    },
     /// Asks whether a connection to an endpoint may be relayed for another node.
     PermitRelay {
         /// Endpoint that the node means.
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -166,6 +166,9 @@
             ControlCommand::PathTried { endpoint, is_reached } => {
                 self.record_path(&endpoint, is_reached, now);
             },
+            ControlCommand::EndpointRelayed { endpoint } => {
+                self.fleet.record_relayed(&endpoint, now);
+            },
             ControlCommand::PermitRelay { endpoint, reply } => {
                 // A permit that is not received ends when it is dropped.
                 let _ = reply.send(self.permit_relay(&endpoint, now));
--- a/crates/apricotknot-gateway/src/control/state/paths.rs
+++ b/crates/apricotknot-gateway/src/control/state/paths.rs
@@ -89,9 +89,14 @@
         self.open_relays = self.open_relays.saturating_sub(1);
     }
 
-    /// Returns the way to the endpoints of a request, and begins the time until the next probe.
-    pub(super) fn take_path(&mut self, query: &PlacementQuery, now: MonotonicTime) -> EndpointPath {
-        if !self.fleet.is_cut_off(&query.service, now) {
+    /// Returns the way to an endpoint for a request, and begins the time until the next probe.
+    pub(super) fn take_path(
+        &mut self,
+        endpoint: &EndpointId,
+        query: &PlacementQuery,
+        now: MonotonicTime,
+    ) -> EndpointPath {
+        if !self.fleet.is_link_cut(endpoint, now) {
             return EndpointPath::Direct;
         }
         let peers = self.choose_peers(query, now);
@@ -123,7 +128,7 @@
         if !self.fleet.may_send(state) {
             return Err(RelayRefusal::NotPermitted);
         }
-        if self.fleet.is_cut_off(&state.entry.service, now) {
+        if self.fleet.is_link_cut(endpoint, now) {
             return Err(RelayRefusal::CutOff);
         }
         if self.open_relays >= MAX_RELAYS {
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::HelperPart;
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::place;
 use apricotknot_core::types::AttemptId;
-use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
 use super::ControlState;
@@ -116,23 +116,17 @@
     }
 
     fn grant(&mut self, waiting: WaitingRequest, plan: PlacementPlan, now: MonotonicTime) {
-        let address_of =
-            |endpoint: &EndpointId| self.fleet.endpoint(endpoint).map(|state| state.entry.address);
-        let helpers = plan.helpers.iter().map(|part| {
-            Some(HelperGrant {
-                endpoint: Arc::clone(&part.endpoint),
-                address: address_of(&part.endpoint)?,
-                memory: part.memory,
-            })
-        });
-        let (Some(address), Some(helpers)) =
-            (address_of(&plan.endpoint), helpers.collect::<Option<Vec<_>>>())
+        let query = &waiting.request.query;
+        let helpers: Option<Vec<HelperGrant>> =
+            plan.helpers.iter().map(|part| self.grant_helper(part, query, now)).collect();
+        let state = self.fleet.endpoint(&plan.endpoint);
+        let (Some(address), Some(helpers)) = (state.map(|state| state.entry.address), helpers)
         else {
             return;
         };
         let attempt = waiting.request.attempt;
-        let path = self.take_path(&waiting.request.query, now);
-        self.fleet.record_start(attempt, &waiting.request.query, &plan, now);
+        let path = self.take_path(&plan.endpoint, query, now);
+        self.fleet.record_start(attempt, query, &plan, now);
         self.has_unsent_changes = true;
         let (endpoint, expected_start) = (plan.endpoint, plan.expected_start);
         let is_rate_limited = self.fleet.stated_limit(&endpoint).is_some();
@@ -150,6 +144,18 @@
         let _ = waiting.reply.send(Ok(grant));
     }
 
+    fn grant_helper(
+        &mut self,
+        part: &HelperPart,
+        query: &PlacementQuery,
+        now: MonotonicTime,
+    ) -> Option<HelperGrant> {
+        let address = self.fleet.endpoint(&part.endpoint)?.entry.address;
+        let path = self.take_path(&part.endpoint, query, now);
+        let (endpoint, memory) = (Arc::clone(&part.endpoint), part.memory);
+        Some(HelperGrant { endpoint, address, path, memory })
+    }
+
     pub(super) fn end_attempt(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
         let runner = self.fleet.runner(attempt).cloned();
         self.fleet.record_end(attempt, end, now);
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -51,7 +51,7 @@
     ) -> Result<OpenAttempt, CallInterrupt> {
         let mut guard = grant.guard;
         let granted_at = self.now();
-        let reserving = reserve(self.context, guard.attempt(), &grant.helpers, &grant.path);
+        let reserving = reserve(self.context, guard.attempt(), &grant.helpers);
         let (helpers, reservations) = match self.unless_interrupted(reserving, None).await {
             Err(WaitInterrupt::CallerDisconnected) => {
                 return Err(CallInterrupt::CallerDisconnected);
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -74,6 +74,8 @@
     match &opened {
         Ok(_) => {
             context.metrics.relayed_attempts.inc();
+            let relayed = ControlCommand::EndpointRelayed { endpoint: Arc::clone(endpoint) };
+            context.control.send(relayed);
             info!(
                 context.logger, "call: connected through a peer";
                 "endpoint" => %endpoint, "peer" => &*peer.node
--- a/crates/apricotknot-gateway/src/driver/reservation.rs
+++ b/crates/apricotknot-gateway/src/driver/reservation.rs
@@ -42,6 +42,7 @@
 struct MemoryReservation {
     endpoint: EndpointId,
     address: SocketAddr,
+    path: EndpointPath,
     id: ReservationId,
     tokens: TokenCount,
 }
@@ -55,7 +56,6 @@
 /// Sends requests about reservations to endpoints.
 struct ReservationClient<P> {
     context: TrafficContext<P>,
-    path: EndpointPath,
 }
 
 /// Reserves memory at each helper that has to hold a part of the prompt.
@@ -68,7 +68,6 @@
     context: &TrafficContext<P>,
     attempt: AttemptId,
     helpers: &[HelperGrant],
-    path: &EndpointPath,
 ) -> Result<(Vec<HelperAddress>, ReservationGuard), Vec<EndpointId>> {
     let addresses = helpers.iter().enumerate().map(|(index, helper)| HelperAddress {
         address: helper.address,
@@ -83,6 +82,7 @@
             Some(MemoryReservation {
                 endpoint: Arc::clone(&helper.endpoint),
                 address: helper.address,
+                path: helper.path.clone(),
                 id,
                 tokens: helper.memory,
             })
@@ -91,7 +91,7 @@
     if reservations.is_empty() {
         return Ok((addresses, ReservationGuard { _stop: None }));
     }
-    let client = ReservationClient { context: context.clone(), path: path.clone() };
+    let client = ReservationClient { context: context.clone() };
     // The guard releases the memory even if this future is dropped before its end.
     let (stop, stopped) = oneshot::channel();
     let guard = ReservationGuard { _stop: Some(stop) };
@@ -171,10 +171,9 @@
         request: ReservationRequest,
     ) -> Result<StatusCode, ExchangeError> {
         let (head, body) = self.context.protocol.write_reservation(&request);
-        let (endpoint, address) = (&reservation.endpoint, reservation.address);
+        let MemoryReservation { endpoint, address, path, .. } = reservation;
         let exchange = async {
-            let connecting =
-                connect_to(&self.context, endpoint, address, &self.path, REQUEST_TIMEOUT);
+            let connecting = connect_to(&self.context, endpoint, *address, path, REQUEST_TIMEOUT);
             let connection = connecting.await?;
             let mut exchange =
                 EndpointExchange::start(&self.context.http, connection, head, &body)?;
--- a/crates/apricotknot-gateway/tests/support/test_node.rs
+++ b/crates/apricotknot-gateway/tests/support/test_node.rs
@@ -32,6 +32,8 @@
 
 pub(crate) struct TestNode {
     pub(crate) state: ControlState,
+    /// Sends commands that [`TestNode::process_commands`] handles.
+    pub(crate) handle: ControlHandle,
     commands: mpsc::UnboundedReceiver<ControlCommand>,
     next_attempt: u128,
 }
@@ -40,14 +42,15 @@
     pub(crate) fn new() -> Self {
         let (sender, commands) = mpsc::unbounded_channel();
         let retries = RetryPolicy { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
+        let handle = ControlHandle::new(sender);
         let state = ControlState::new(
-            ControlHandle::new(sender),
+            handle.clone(),
             "own".into(),
             1,
             BTreeMap::from([("north".into(), "here".into())]),
             FleetLimits { retries },
         );
-        Self { state, commands, next_attempt: 0 }
+        Self { state, handle, commands, next_attempt: 0 }
     }
 
     pub(crate) fn with_engines(count: usize) -> Self {
