--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -77,6 +77,12 @@
     fault: EndpointFault,
     /// Value of the header `server-limit` in answers, if they have one.
     rate_limit: Option<String>,
+    /// Value of the header `retry-after` of refusals: requests are refused while it is set.
+    rest: Option<String>,
+    /// Whether answers say that the endpoint leaves.
+    is_leaving: bool,
+    /// Time of arrival of each request, also of those that are refused.
+    arrivals: Vec<Instant>,
     event_interval: Duration,
     executions: Vec<ExecutionRecord>,
     /// Reserved tokens by id, each with the time at which the reservation expires.
@@ -127,6 +133,9 @@
             id: id.to_owned(),
             fault: EndpointFault::None,
             rate_limit: None,
+            rest: None,
+            is_leaving: false,
+            arrivals: Vec::new(),
             event_interval: Duration::from_millis(5),
             executions: Vec::new(),
             reservations: BTreeMap::new(),
@@ -149,6 +158,21 @@
         self.lock().rate_limit = limit.map(str::to_owned);
     }
 
+    /// Makes the endpoint refuse requests and ask for this rest, in seconds, or run them again.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        self.lock().rest = rest.map(str::to_owned);
+    }
+
+    /// Sets whether further answers say that the endpoint leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.lock().is_leaving = is_leaving;
+    }
+
+    /// Returns when each request arrived, also those that were refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Sets the time between two events of a stream.
     pub fn set_event_interval(&self, interval: Duration) {
         self.lock().event_interval = interval;
@@ -203,32 +227,45 @@
 
 impl HttpHandler for EndpointHandler {
     async fn handle(self: Rc<Self>, call: HttpCall) -> HttpReply {
-        if call.path == "/order" {
-            return self.handle_reservation(&call);
+        let reply = match call.path.as_str() {
+            "/order" => self.handle_reservation(&call),
+            _ => self.handle_request(&call),
+        };
+        match self.lock().is_leaving {
+            true => reply.header("server-leaving", "1"),
+            false => reply,
         }
-        let (fault, interval, limit) = {
-            let state = self.lock();
+    }
+
+    fn crash(self: Rc<Self>) {}
+}
+
+impl EndpointHandler {
+    fn lock(&self) -> MutexGuard<'_, EndpointState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle_request(&self, call: &HttpCall) -> HttpReply {
+        let (fault, interval, limit, rest) = {
+            let mut state = self.lock();
             if call.header("expect-instance") != Some(&state.id) {
                 return HttpReply::json(421, &json!({})).header("instance-id", &state.id);
             }
-            (state.fault, state.event_interval, state.rate_limit.clone())
+            state.arrivals.push(Instant::now());
+            (state.fault, state.event_interval, state.rate_limit.clone(), state.rest.clone())
         };
+        if let Some(rest) = rest {
+            let refusal = HttpReply::json(503, &json!({})).header("not-executed", "1");
+            return refusal.header("retry-after", &rest);
+        }
         if fault == EndpointFault::Full {
             let reply = HttpReply::json(503, &json!({})).header("not-executed", "1");
             return with_rate_limit(reply, limit);
         }
-        let record = execution_record(&call);
+        let record = execution_record(call);
         self.lock().executions.push(record.clone());
         let guard = StreamGuard { state: Arc::clone(&self.state), is_complete: false };
-        with_rate_limit(answer(&call, &record, fault, interval, guard), limit)
-    }
-
-    fn crash(self: Rc<Self>) {}
-}
-
-impl EndpointHandler {
-    fn lock(&self) -> MutexGuard<'_, EndpointState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        with_rate_limit(answer(call, &record, fault, interval, guard), limit)
     }
 
     fn handle_reservation(&self, call: &HttpCall) -> HttpReply {
