gateway: endpoints that ask for rest get it

Cause: no node read Retry-After; an endpoint that refuses is left alone for 0.1 s, and is the emptiest of all afterwards. Class: a wish of an endpoint that stands in an answer and reaches no decision.

A rest ends at the latest time that was asked for, with the endpoint's lifetime, after an hour at most, and after a second if it cannot be read (logged). If all endpoints of a request rest, it waits for one whose rest ends in time, or is refused at once, with a time to come back that is spread over half of the rest. Health and quarantine do not learn from a rest.

--- a/crates/apricotknot-core/src/fleet/fleet_rates.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_rates.rs
@@ -151,7 +151,7 @@
 
     /// Returns whether an attempt that was granted may still be sent: its endpoint still accepts
     /// work, and has not begun to limit its request rate since.
-    pub fn is_still_permitted(&self, attempt: AttemptId) -> bool {
+    pub fn is_still_permitted(&self, attempt: AttemptId, now: MonotonicTime) -> bool {
         let Some(work) = self.own_work.get(&attempt).and_then(|work_items| work_items.first())
         else {
             return false;
@@ -163,7 +163,7 @@
             .stated_rate
             .as_ref()
             .is_none_or(|rate| rate.per_second.is_none() || rate.limited_since <= work.since);
-        self.may_send(state) && is_unlimited
+        self.may_send(state, now) && is_unlimited
     }
 
     /// Returns what this node knows of the endpoints' request rates, for its load snapshot.
--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -21,6 +21,7 @@
 use super::WorkPhase;
 use super::WorkRole;
 use super::WorkSnapshot;
+use super::endpoint_rest::RestTable;
 use super::endpoint_state::EndpointState;
 use crate::membership::hash_text;
 use crate::routing::ServiceProfile;
@@ -72,6 +73,8 @@
     pub(super) node_order: NodeOrder,
     /// Whether this node reaches the endpoints by connections of its own.
     path_health: PathHealth,
+    /// Rests that endpoints have asked for.
+    pub(super) rests: RestTable,
 }
 
 // Methods that change the state.
@@ -91,6 +94,7 @@
             peers: BTreeMap::new(),
             node_order: NodeOrder::new(node, []),
             path_health: PathHealth::default(),
+            rests: RestTable::default(),
         }
     }
 
@@ -382,12 +386,23 @@
         self.region(self.data_centre.as_deref()?)
     }
 
-    /// Returns whether new requests may be sent to an endpoint, whatever its load and its health.
-    pub fn may_send(&self, state: &EndpointState) -> bool {
+    /// Returns the name of this node.
+    pub(super) fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    /// Returns whether an endpoint takes new requests of any node, apart from its load and health.
+    pub fn is_open(&self, state: &EndpointState) -> bool {
         let entry = &state.entry;
         entry.phase == EndpointPhase::Ready && !self.is_evacuated(&entry.data_centre)
     }
 
+    /// Returns whether this node may send new requests to an endpoint at `now`, apart from the
+    /// endpoint's load, its health and its request rate.
+    pub fn may_send(&self, state: &EndpointState, now: MonotonicTime) -> bool {
+        self.is_open(state) && self.rest_end(state, now).is_none()
+    }
+
     /// Returns whether a data centre is known to be another one than that of this node.
     pub fn is_remote(&self, data_centre: &str) -> bool {
         self.data_centre.as_ref().is_some_and(|own| **own != *data_centre)
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -12,6 +12,7 @@
 use super::RateReport;
 use super::RelayStatus;
 use super::RelayedSnapshot;
+use super::RestReport;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -105,6 +106,10 @@
     /// of its own.
     #[serde(skip)]
     pub relay: Option<RelayStatus>,
+    /// Endpoints that want no requests from nodes which relayed for this one; sent in a section of its
+    /// own.
+    #[serde(skip)]
+    pub rests: Vec<RestReport>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod crash_history;
 mod endpoint;
 mod endpoint_load;
+mod endpoint_rest;
 mod endpoint_state;
 mod engine_model;
 mod fleet_rates;
@@ -32,6 +33,9 @@
 pub use crash_history::RequestFingerprint;
 pub use endpoint::EndpointEntry;
 pub use endpoint::EndpointPhase;
+pub use endpoint_rest::RestChange;
+pub use endpoint_rest::RestReport;
+pub use endpoint_rest::RestStatement;
 pub use endpoint_state::EndpointState;
 pub use engine_model::EngineModel;
 pub use fleet_state::FleetState;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -172,6 +172,9 @@
             return PlacementDecision::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
         }
     }
+    if let Some(decision) = fleet.decide_by_rest(&eligible, query, now) {
+        return decision;
+    }
     if let Some(decision) = decide_by_rates(fleet, &eligible, query, position.ahead, now) {
         return decision;
     }
@@ -179,7 +182,9 @@
     let mut loads = sum_loads(fleet, now);
     let jitter_scale = jitter_scale(fleet.node_count());
     let available = eligible.into_iter().filter(|state| {
-        !state.health.is_backing_off(now) && fleet.rate_turn(state, now).is_open(now)
+        fleet.may_send(state, now)
+            && !state.health.is_backing_off(now)
+            && fleet.rate_turn(state, now).is_open(now)
     });
     let candidates = available.map(|state| {
         let load = loads.remove(&state.entry.id).unwrap_or_default();
@@ -205,7 +210,7 @@
     });
     is_allowed_region
         && entry.service == query.service
-        && fleet.may_send(state)
+        && fleet.is_open(state)
         && !query.excluded.contains(&entry.id)
 }
 
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestFingerprint;
+use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -117,6 +118,15 @@
         /// Time at which the request was sent.
         sent_at: MonotonicTime,
     },
+    /// An endpoint has refused a request and asks for rest.
+    RestAsked {
+        /// Endpoint that refused.
+        endpoint: EndpointId,
+        /// What it asks for.
+        statement: RestStatement,
+        /// Node that relayed the request, if one did.
+        relayed_by: Option<NodeId>,
+    },
     /// Asks whether an attempt that was granted some time ago may still be sent.
     Confirm {
         /// Identifies the attempt.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -240,6 +240,7 @@
             self.publish_notices();
             self.log_rate_changes();
             self.publish_path_health();
+            self.log_rest_changes();
             self.log_hold_notices();
             self.keep_lost_configuration();
             self.peers.send_due(&mut self.state, self.clock.now());
@@ -312,6 +313,21 @@
         }
     }
 
+    /// Logs the endpoints that ask for rest.
+    fn log_rest_changes(&mut self) {
+        for change in self.state.take_rest_changes() {
+            let event = match change.is_unreadable {
+                true => "endpoint asks for an unreadable rest; using a default",
+                false => "endpoint asks for rest",
+            };
+            warn!(
+                self.logger, "control: {}", event;
+                "endpoint" => &*change.endpoint, "rest_ms" => millis(change.rest),
+                "relayed_by" => change.relayed_by.as_deref()
+            );
+        }
+    }
+
     /// Logs whether endpoints can be reached, and asks the traffic threads for evidence.
     fn publish_path_health(&mut self) {
         for change in self.state.take_path_changes() {
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -16,6 +16,7 @@
 use apricotknot_core::fleet::PathChange;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateChange;
+use apricotknot_core::fleet::RestChange;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::routing::DesiredState;
@@ -80,6 +81,8 @@
     placement_count: u64,
     /// Changes of endpoints' limits that were not taken yet.
     rate_changes: Vec<RateChange>,
+    /// Rests that began or grew longer and were not taken yet.
+    rest_changes: Vec<RestChange>,
     /// Endpoints that may have crashed, or that this node only cannot reach itself.
     crash_suspects: Vec<EndpointId>,
     /// Nodes that did not relay when they were asked, with the time until which none asks them.
@@ -126,6 +129,7 @@
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
             rate_changes: Vec::new(),
+            rest_changes: Vec::new(),
             crash_suspects: Vec::new(),
             failed_relays: BTreeMap::new(),
             open_relays: 0,
@@ -159,9 +163,13 @@
                 let change = self.fleet.record_rate_statement(&endpoint, statement, sent_at, now);
                 self.rate_changes.extend(change);
             },
+            ControlCommand::RestAsked { endpoint, statement, relayed_by } => {
+                let change = self.fleet.record_rest(&endpoint, statement, relayed_by, now);
+                self.rest_changes.extend(change);
+            },
             ControlCommand::Confirm { attempt, reply } => {
                 // A closed channel means that the call has ended.
-                let _ = reply.send(self.fleet.is_still_permitted(attempt));
+                let _ = reply.send(self.fleet.is_still_permitted(attempt, now));
             },
             ControlCommand::PathTried { endpoint, is_reached } => {
                 self.record_path(&endpoint, is_reached, now);
@@ -200,6 +208,7 @@
         self.quarantine.apply_reports(&mut snapshot, now);
         let rates = std::mem::take(&mut snapshot.rates);
         self.rate_changes.extend(self.fleet.apply_rate_reports(rates, now));
+        self.fleet.apply_rest_reports(std::mem::take(&mut snapshot.rests), now);
         self.fleet.apply_snapshot(snapshot, now);
     }
 
@@ -239,6 +248,11 @@
         std::mem::take(&mut self.rate_changes)
     }
 
+    /// Takes the rests that began or grew longer since the last call.
+    pub fn take_rest_changes(&mut self) -> Vec<RestChange> {
+        std::mem::take(&mut self.rest_changes)
+    }
+
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
     pub fn next_snapshot(&mut self, now: MonotonicTime) -> LoadSnapshot {
         self.sequence += 1;
@@ -253,6 +267,7 @@
             part_answers: Vec::new(),
             rates: self.fleet.rate_reports(self.sequence, now),
             relay: Some(self.relay_status(now)),
+            rests: self.fleet.rest_reports(now),
             relayed: Vec::new(),
         };
         self.quarantine.add_reports(&mut snapshot, now);
--- a/crates/apricotknot-gateway/src/control/state/paths.rs
+++ b/crates/apricotknot-gateway/src/control/state/paths.rs
@@ -125,7 +125,7 @@
         now: MonotonicTime,
     ) -> Result<std::net::SocketAddr, RelayRefusal> {
         let state = self.fleet.endpoint(endpoint).ok_or(RelayRefusal::NotPermitted)?;
-        if !self.fleet.may_send(state) {
+        if !self.fleet.may_send(state, now) {
             return Err(RelayRefusal::NotPermitted);
         }
         if self.fleet.is_link_cut(endpoint, now) {
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use actix_http::ResponseHead;
+use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
@@ -31,6 +33,8 @@
     pub(super) progress_at: MonotonicTime,
     /// Whether the endpoint was known to limit its request rate when the attempt was granted.
     pub(super) is_rate_limited: bool,
+    /// Rest that the endpoint asks for in its answer.
+    pub(super) rest: RestStatement,
     /// Time until the answer was expected to begin.
     pub(super) expected_start: Duration,
     /// Whether the first event of the answer has arrived.
@@ -45,6 +49,16 @@
         self.silence_limit.map(|limit| (self.progress_at + limit).saturating_sub(now))
     }
 
+    /// Returns how the attempt ends if the endpoint answers with an error.
+    ///
+    /// Asking for rest is no fault of the endpoint.
+    pub(super) fn failed_end(&self) -> AttemptEnd {
+        match self.rest {
+            RestStatement::None => AttemptEnd::Failed,
+            RestStatement::For(_) | RestStatement::Unreadable => AttemptEnd::Refused,
+        }
+    }
+
     /// Returns the helper that `named` names by id or address, or the attempt's own endpoint if it
     /// names none of the helpers.
     pub(super) fn at_fault(&self, named: Option<&str>) -> EndpointId {
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -5,6 +5,7 @@
 
 use actix_http::RequestHead;
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
@@ -104,6 +105,7 @@
             helpers: grant.helpers,
             _reservations: reservations,
             is_rate_limited: grant.is_rate_limited,
+            rest: RestStatement::None,
             expected_start: grant.expected_start,
             has_begun: false,
             sent_at: self.now(),
--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -1,6 +1,5 @@
 //! Forwards an answer once it is complete.
 
-use apricotknot_core::fleet::AttemptEnd;
 use bytes::BytesMut;
 
 use super::attempt::AnsweredAttempt;
@@ -43,8 +42,9 @@
         self.runs += 1;
         let body = body.freeze();
         if head.status.is_server_error() {
-            open.guard.set_end(AttemptEnd::Failed);
-            self.record_failed_attempt(&open.endpoint, AttemptEnd::Failed, head.status.as_str());
+            let end = open.failed_end();
+            open.guard.set_end(end);
+            self.record_failed_attempt(&open.endpoint, end, head.status.as_str());
             if self.may_run_again() {
                 self.fallback = Some((head, body));
                 self.excluded.push(open.endpoint);
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -23,6 +23,7 @@
 use super::attempt::CallInterrupt;
 use super::attempt::OpenAttempt;
 use super::attempt::WaitInterrupt;
+use super::endpoint_access::report_wishes;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::remove_hop_by_hop_headers;
@@ -151,6 +152,11 @@
         self.report_rate(&open, &metadata);
         let answered_id = metadata.request_id.as_deref();
         let is_own = answered_id.is_none_or(|id| id == &*self.call.metadata.request_id);
+        if is_own && !metadata.is_misdirected {
+            open.rest = metadata.rest;
+            let relayed_by = open.exchange.relayed_by();
+            report_wishes(self.context, &open.endpoint, relayed_by, &metadata);
+        }
         // The refusal of another request says nothing about this one, which may be running.
         if is_own && (metadata.is_misdirected || metadata.is_not_run) {
             let end = match metadata.is_misdirected {
@@ -169,9 +175,10 @@
         if is_valid && self.can_continue(&head) {
             return Ok(AnsweredAttempt { open, head });
         }
-        open.guard.set_end(AttemptEnd::Failed);
+        let end = open.failed_end();
+        open.guard.set_end(end);
         let cause = if is_valid { head.status.as_str() } else { "unsound head" };
-        self.record_failed_attempt(&open.endpoint, AttemptEnd::Failed, cause);
+        self.record_failed_attempt(&open.endpoint, end, cause);
         self.excluded.push(open.endpoint);
         self.runs += 1;
         Err(CallInterrupt::Attempt(AttemptFault::MayHaveRun))
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::NodeId;
 use slog::info;
 use slog::warn;
 
@@ -16,6 +18,7 @@
 use crate::endpoint::EndpointConnection;
 use crate::endpoint::ExchangeError;
 use crate::endpoint::connect;
+use crate::protocol::AnswerMetadata;
 use crate::relay::RelayError;
 use crate::relay::RelayRefusal;
 use crate::relay::RelayedStream;
@@ -42,7 +45,10 @@
     let mut failure = RelayError::NoPeer;
     for peer in peers {
         match connect_through(context, endpoint, peer).await {
-            Ok(stream) => return Ok(EndpointConnection::Relayed(stream)),
+            Ok(stream) => {
+                let peer = Arc::clone(&peer.node);
+                return Ok(EndpointConnection::Relayed { stream, peer });
+            },
             Err(error) => failure = error,
         }
         if failure.refusal().is_some_and(RelayRefusal::is_about_endpoint) {
@@ -62,6 +68,22 @@
     });
 }
 
+/// Reports to the control thread what the answer of an endpoint says of the requests that it wants.
+pub(super) fn report_wishes<P>(
+    context: &TrafficContext<P>,
+    endpoint: &EndpointId,
+    relayed_by: Option<&NodeId>,
+    metadata: &AnswerMetadata,
+) {
+    if metadata.rest != RestStatement::None {
+        context.control.send(ControlCommand::RestAsked {
+            endpoint: Arc::clone(endpoint),
+            statement: metadata.rest,
+            relayed_by: relayed_by.cloned(),
+        });
+    }
+}
+
 async fn connect_through<P>(
     context: &TrafficContext<P>,
     endpoint: &EndpointId,
--- a/crates/apricotknot-gateway/src/driver/reservation.rs
+++ b/crates/apricotknot-gateway/src/driver/reservation.rs
@@ -14,6 +14,7 @@
 
 use super::TrafficContext;
 use super::endpoint_access::connect_to;
+use super::endpoint_access::report_wishes;
 use crate::control::EndpointPath;
 use crate::control::HelperGrant;
 use crate::endpoint::EndpointExchange;
@@ -177,7 +178,12 @@
             let connection = connecting.await?;
             let mut exchange =
                 EndpointExchange::start(&self.context.http, connection, head, &body)?;
-            Ok(exchange.read_head().await?.status)
+            let head = exchange.read_head().await?;
+            let metadata = self.context.protocol.read_answer(&head);
+            if !metadata.is_misdirected {
+                report_wishes(&self.context, endpoint, exchange.relayed_by(), &metadata);
+            }
+            Ok(head.status)
         };
         let answer = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
         answer.unwrap_or(Err(ExchangeError::Truncated))
--- a/crates/apricotknot-gateway/src/endpoint/connection.rs
+++ b/crates/apricotknot-gateway/src/endpoint/connection.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use actix_rt::net::TcpStream;
+use apricotknot_core::types::NodeId;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::io::AsyncRead;
@@ -32,7 +33,22 @@
     /// A connection of this node.
     Direct(TcpStream),
     /// A connection of a peer, which relays its bytes.
-    Relayed(RelayedStream),
+    Relayed {
+        /// Connection to the peer.
+        stream: RelayedStream,
+        /// Peer that relays.
+        peer: NodeId,
+    },
+}
+
+impl EndpointConnection {
+    /// Returns the node that relays the connection, if one does.
+    pub fn relayed_by(&self) -> Option<&NodeId> {
+        match self {
+            Self::Direct(_) => None,
+            Self::Relayed { peer, .. } => Some(peer),
+        }
+    }
 }
 
 impl AsyncRead for EndpointConnection {
@@ -43,7 +59,7 @@
     ) -> Poll<io::Result<()>> {
         match &mut *self {
             Self::Direct(stream) => Pin::new(stream).poll_read(context, buffer),
-            Self::Relayed(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Relayed { stream, .. } => Pin::new(stream).poll_read(context, buffer),
         }
     }
 }
@@ -56,21 +72,21 @@
     ) -> Poll<io::Result<usize>> {
         match &mut *self {
             Self::Direct(stream) => Pin::new(stream).poll_write(context, bytes),
-            Self::Relayed(stream) => Pin::new(stream).poll_write(context, bytes),
+            Self::Relayed { stream, .. } => Pin::new(stream).poll_write(context, bytes),
         }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut *self {
             Self::Direct(stream) => Pin::new(stream).poll_flush(context),
-            Self::Relayed(stream) => Pin::new(stream).poll_flush(context),
+            Self::Relayed { stream, .. } => Pin::new(stream).poll_flush(context),
         }
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut *self {
             Self::Direct(stream) => Pin::new(stream).poll_shutdown(context),
-            Self::Relayed(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Relayed { stream, .. } => Pin::new(stream).poll_shutdown(context),
         }
     }
 }
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -23,6 +23,7 @@
 use actix_http::h1::MessageType;
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::header::TRANSFER_ENCODING;
+use apricotknot_core::types::NodeId;
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -125,6 +126,11 @@
         poll_fn(|context| self.poll_part(context)).await
     }
 
+    /// Returns the node that relays the connection, if one does.
+    pub fn relayed_by(&self) -> Option<&NodeId> {
+        self.connection.relayed_by()
+    }
+
     fn poll_head(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -20,6 +20,9 @@
 /// Number of the section with the node's part in relaying connections.
 const RELAY_SECTION: u8 = 3;
 
+/// Number of the section with rests that endpoints ask of relaying nodes.
+const RESTS_SECTION: u8 = 4;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -36,6 +39,9 @@
     if let Some(relay) = &snapshot.relay {
         push_section(&mut bytes, RELAY_SECTION, relay)?;
     }
+    if !snapshot.rests.is_empty() {
+        push_section(&mut bytes, RESTS_SECTION, &snapshot.rests)?;
+    }
     if !snapshot.relayed.is_empty() {
         push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
     }
@@ -55,6 +61,7 @@
         match number {
             RATES_SECTION => snapshot.rates = parse_value(value)?,
             RELAY_SECTION => snapshot.relay = Some(parse_value(value)?),
+            RESTS_SECTION => snapshot.rests = parse_value(value)?,
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
         }
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -9,6 +9,7 @@
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestSize;
+use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::TokenCount;
@@ -107,6 +108,8 @@
     pub is_misdirected: bool,
     /// Rate of requests that the endpoint accepts from all nodes together.
     pub rate_statement: RateStatement,
+    /// Rest that the endpoint asks for as it refuses the request.
+    pub rest: RestStatement,
 }
 
 /// Translates between the headers of a platform and the types of the gateway.
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::fleet::RateReport;
 use apricotknot_core::fleet::RelayStatus;
 use apricotknot_core::fleet::RelayedSnapshot;
+use apricotknot_core::fleet::RestReport;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::fleet::WorkSnapshot;
@@ -51,6 +52,12 @@
             age_ms: 50,
         }],
         relay: Some(RelayStatus { open: 3, cut_services: vec!["model".into()] }),
+        rests: vec![RestReport {
+            node: "peer".into(),
+            endpoint: "engine".into(),
+            incarnation: 2,
+            left_ms: 70,
+        }],
         relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
