gateway: endpoints whose answers say that they leave get nothing more

An engine that leaves says so in all its answers, maybe long before its record in the key-value service does; 71 requests reached one 2 s after it had said so. Cause: no node read the header.

Any own answer counts, also refusals and those about reservations.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -21,6 +21,7 @@
 use super::WorkPhase;
 use super::WorkRole;
 use super::WorkSnapshot;
+use super::endpoint_leaving::LeavingTable;
 use super::endpoint_rest::RestTable;
 use super::endpoint_state::EndpointState;
 use crate::membership::hash_text;
@@ -75,6 +76,8 @@
     path_health: PathHealth,
     /// Rests that endpoints have asked for.
     pub(super) rests: RestTable,
+    /// Endpoints whose answers say that they leave.
+    pub(super) leaving: LeavingTable,
 }
 
 // Methods that change the state.
@@ -95,6 +98,7 @@
             node_order: NodeOrder::new(node, []),
             path_health: PathHealth::default(),
             rests: RestTable::default(),
+            leaving: LeavingTable::default(),
         }
     }
 
@@ -394,7 +398,9 @@
     /// Returns whether an endpoint takes new requests of any node, apart from its load and health.
     pub fn is_open(&self, state: &EndpointState) -> bool {
         let entry = &state.entry;
-        entry.phase == EndpointPhase::Ready && !self.is_evacuated(&entry.data_centre)
+        entry.phase == EndpointPhase::Ready
+            && !self.is_leaving(state)
+            && !self.is_evacuated(&entry.data_centre)
     }
 
     /// Returns whether this node may send new requests to an endpoint at `now`, apart from the
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::CrashReport;
+use super::LeavingReport;
 use super::PartAnswerReport;
 use super::PartCrashReport;
 use super::RateReport;
@@ -110,6 +111,9 @@
     /// own.
     #[serde(skip)]
     pub rests: Vec<RestReport>,
+    /// Endpoints whose answers say that they leave; sent in a section of its own.
+    #[serde(skip)]
+    pub leaving: Vec<LeavingReport>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod crash_history;
 mod endpoint;
+mod endpoint_leaving;
 mod endpoint_load;
 mod endpoint_rest;
 mod endpoint_state;
@@ -33,6 +34,7 @@
 pub use crash_history::RequestFingerprint;
 pub use endpoint::EndpointEntry;
 pub use endpoint::EndpointPhase;
+pub use endpoint_leaving::LeavingReport;
 pub use endpoint_rest::RestChange;
 pub use endpoint_rest::RestReport;
 pub use endpoint_rest::RestStatement;
--- a/crates/apricotknot-core/tests/endpoint_rest.rs
+++ b/crates/apricotknot-core/tests/endpoint_rest.rs
@@ -1,4 +1,4 @@
-//! Tests of rests that endpoints ask for.
+//! Tests of rests that endpoints ask for, and of endpoints that say that they leave.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -151,3 +151,22 @@
     assert!(may_send(&third, NOW), "the endpoint did not ask the third node");
     assert_eq!(own.rest_reports(NOW + Duration::from_secs(3)).len(), 0);
 }
+
+#[test]
+fn endpoint_that_leaves_gets_nothing_from_any_node_until_it_starts_again() {
+    let (mut own, mut other) = (fleet("own", 1), fleet("other", 1));
+    assert!(own.record_leaving(&endpoint(0), NOW));
+    assert!(!own.record_leaving(&endpoint(0), NOW), "it is known already");
+    assert_eq!(other.apply_leaving_reports(own.leaving_reports(NOW), NOW), [endpoint(0)]);
+    for fleet in [&mut own, &mut other] {
+        assert!(!may_send(fleet, NOW));
+        fleet.remove_endpoint("desk-0");
+        fleet.set_endpoint(entry(0, 1));
+        assert!(!may_send(fleet, NOW), "the same lifetime is announced again as ready");
+        fleet.set_endpoint(entry(0, 2));
+        assert!(may_send(fleet, NOW), "it has started again");
+    }
+    assert_eq!(other.leaving_reports(NOW).len(), 0, "reports are not passed on");
+    let late = other.apply_leaving_reports(own.leaving_reports(NOW), NOW);
+    assert!(late.is_empty() && may_send(&other, NOW), "the report is of an earlier lifetime");
+}
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -118,6 +118,11 @@
         /// Time at which the request was sent.
         sent_at: MonotonicTime,
     },
+    /// An answer of an endpoint says that it leaves.
+    LeavingStated {
+        /// Endpoint that leaves.
+        endpoint: EndpointId,
+    },
     /// An endpoint has refused a request and asks for rest.
     RestAsked {
         /// Endpoint that refused.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -240,7 +240,7 @@
             self.publish_notices();
             self.log_rate_changes();
             self.publish_path_health();
-            self.log_rest_changes();
+            self.log_wishes();
             self.log_hold_notices();
             self.keep_lost_configuration();
             self.peers.send_due(&mut self.state, self.clock.now());
@@ -313,8 +313,14 @@
         }
     }
 
-    /// Logs the endpoints that ask for rest.
-    fn log_rest_changes(&mut self) {
+    /// Logs the endpoints that leave or ask for rest.
+    fn log_wishes(&mut self) {
+        for endpoint in self.state.take_leaving_notices() {
+            info!(
+                self.logger, "control: endpoint says that it leaves; sending it nothing new";
+                "endpoint" => &*endpoint
+            );
+        }
         for change in self.state.take_rest_changes() {
             let event = match change.is_unreadable {
                 true => "endpoint asks for an unreadable rest; using a default",
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -81,6 +81,8 @@
     placement_count: u64,
     /// Changes of endpoints' limits that were not taken yet.
     rate_changes: Vec<RateChange>,
+    /// Endpoints that are newly known to leave and were not taken yet.
+    leaving_notices: Vec<EndpointId>,
     /// Rests that began or grew longer and were not taken yet.
     rest_changes: Vec<RestChange>,
     /// Endpoints that may have crashed, or that this node only cannot reach itself.
@@ -129,6 +131,7 @@
             next_pass: MonotonicTime::ZERO,
             placement_count: 0,
             rate_changes: Vec::new(),
+            leaving_notices: Vec::new(),
             rest_changes: Vec::new(),
             crash_suspects: Vec::new(),
             failed_relays: BTreeMap::new(),
@@ -163,6 +166,11 @@
                 let change = self.fleet.record_rate_statement(&endpoint, statement, sent_at, now);
                 self.rate_changes.extend(change);
             },
+            ControlCommand::LeavingStated { endpoint } => {
+                if self.fleet.record_leaving(&endpoint, now) {
+                    self.leaving_notices.push(endpoint);
+                }
+            },
             ControlCommand::RestAsked { endpoint, statement, relayed_by } => {
                 let change = self.fleet.record_rest(&endpoint, statement, relayed_by, now);
                 self.rest_changes.extend(change);
@@ -208,6 +216,8 @@
         self.quarantine.apply_reports(&mut snapshot, now);
         let rates = std::mem::take(&mut snapshot.rates);
         self.rate_changes.extend(self.fleet.apply_rate_reports(rates, now));
+        let leaving = std::mem::take(&mut snapshot.leaving);
+        self.leaving_notices.extend(self.fleet.apply_leaving_reports(leaving, now));
         self.fleet.apply_rest_reports(std::mem::take(&mut snapshot.rests), now);
         self.fleet.apply_snapshot(snapshot, now);
     }
@@ -248,6 +258,11 @@
         std::mem::take(&mut self.rate_changes)
     }
 
+    /// Takes the endpoints that are newly known to leave since the last call.
+    pub fn take_leaving_notices(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.leaving_notices)
+    }
+
     /// Takes the rests that began or grew longer since the last call.
     pub fn take_rest_changes(&mut self) -> Vec<RestChange> {
         std::mem::take(&mut self.rest_changes)
@@ -268,6 +283,7 @@
             rates: self.fleet.rate_reports(self.sequence, now),
             relay: Some(self.relay_status(now)),
             rests: self.fleet.rest_reports(now),
+            leaving: self.fleet.leaving_reports(now),
             relayed: Vec::new(),
         };
         self.quarantine.add_reports(&mut snapshot, now);
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -75,6 +75,9 @@
     relayed_by: Option<&NodeId>,
     metadata: &AnswerMetadata,
 ) {
+    if metadata.is_leaving {
+        context.control.send(ControlCommand::LeavingStated { endpoint: Arc::clone(endpoint) });
+    }
     if metadata.rest != RestStatement::None {
         context.control.send(ControlCommand::RestAsked {
             endpoint: Arc::clone(endpoint),
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -23,6 +23,9 @@
 /// Number of the section with rests that endpoints ask of relaying nodes.
 const RESTS_SECTION: u8 = 4;
 
+/// Number of the section with endpoints that leave.
+const LEAVING_SECTION: u8 = 5;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -42,6 +45,9 @@
     if !snapshot.rests.is_empty() {
         push_section(&mut bytes, RESTS_SECTION, &snapshot.rests)?;
     }
+    if !snapshot.leaving.is_empty() {
+        push_section(&mut bytes, LEAVING_SECTION, &snapshot.leaving)?;
+    }
     if !snapshot.relayed.is_empty() {
         push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
     }
@@ -62,6 +68,7 @@
             RATES_SECTION => snapshot.rates = parse_value(value)?,
             RELAY_SECTION => snapshot.relay = Some(parse_value(value)?),
             RESTS_SECTION => snapshot.rests = parse_value(value)?,
+            LEAVING_SECTION => snapshot.leaving = parse_value(value)?,
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
         }
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -108,6 +108,8 @@
     pub is_misdirected: bool,
     /// Rate of requests that the endpoint accepts from all nodes together.
     pub rate_statement: RateStatement,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
     /// Rest that the endpoint asks for as it refuses the request.
     pub rest: RestStatement,
 }
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::CrashReport;
+use apricotknot_core::fleet::LeavingReport;
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PartAnswerReport;
 use apricotknot_core::fleet::PartCrashReport;
@@ -58,6 +59,7 @@
             incarnation: 2,
             left_ms: 70,
         }],
+        leaving: vec![LeavingReport { endpoint: "engine".into(), incarnation: 2 }],
         relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
