gateway tests: an answer that is broken off anywhere is not complete

Report of an operator: an engine that stops in the middle of its head led to a 200 with an empty body. It does not happen here: heads and bodies of three framings, cut after each byte, all end as errors (the test passes on the code before).

--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -180,3 +180,25 @@
         Ok(())
     });
 }
+
+// Guards against answers without a body that look complete, as their head was broken off.
+#[actix_rt::test]
+async fn answer_broken_off_anywhere_is_not_complete() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 5\r\n\r\nwhole",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+         5\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nresponse-seal: s\r\n\r\n",
+    ];
+    for answer in answers {
+        for length in 0..answer.len() {
+            for ending in [Ending::Closed, Ending::Reset] {
+                if ending == Ending::Reset && length % 16 != 0 {
+                    continue;
+                }
+                let found = answer_of(&answer[..length], ending).await;
+                assert!(found.is_err(), "{ending:?} after {:?}: {found:?}", &answer[..length]);
+            }
+        }
+    }
+}
