gateway: a planned stop answers the calls that it ends, and takes no call late that may not be repeated

Report of an operator: requests that came late in a planned stop were passed on, and cut without an answer at its end. Both happen here: an order that its endpoint does not answer lost its connection (status 0), and one with a time limit of 8 s was taken 0.5 s after SIGTERM, with 7.2 s left.

--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -30,7 +30,10 @@
     desired: watch::Sender<Option<Arc<DesiredState>>>,
     peer_seals: watch::Sender<PeerSeals>,
     confirmed_at_ms: AtomicU64,
-    is_stopping: AtomicBool,
+    /// Time at which the node ends, in milliseconds, or 0 if it is not about to stop.
+    stop_end_ms: AtomicU64,
+    /// Whether the calls in progress have to end now.
+    is_ending: watch::Sender<bool>,
     is_closed: AtomicBool,
     is_path_suspect: AtomicBool,
     limits: StalenessLimits,
@@ -43,7 +46,8 @@
             desired: watch::Sender::new(None),
             peer_seals: watch::Sender::new(PeerSeals::default()),
             confirmed_at_ms: AtomicU64::new(0),
-            is_stopping: AtomicBool::new(false),
+            stop_end_ms: AtomicU64::new(0),
+            is_ending: watch::Sender::new(false),
             is_closed: AtomicBool::new(false),
             is_path_suspect: AtomicBool::new(false),
             limits,
@@ -70,15 +74,21 @@
         self.is_path_suspect.store(is_suspect, Ordering::Release);
     }
 
-    /// Records that the node is about to stop: it still accepts requests, but is not ready.
-    pub fn mark_stopping(&self) {
-        self.is_stopping.store(true, Ordering::Release);
+    /// Records that the node is about to stop, and ends at `end`: until it is closed, it still accepts
+    /// requests, but is not ready.
+    pub fn mark_stopping(&self, end: MonotonicTime) {
+        self.stop_end_ms.store(millis(end).max(1), Ordering::Release);
     }
 
     /// Records that the node accepts no more requests.
     pub fn mark_closed(&self) {
         self.is_closed.store(true, Ordering::Release);
     }
+
+    /// Makes all calls in progress end with the answer that they can get now.
+    pub fn mark_ending(&self) {
+        self.is_ending.send_replace(true);
+    }
 }
 
 impl SharedState {
@@ -114,7 +124,18 @@
 
     /// Returns whether the node is about to stop.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Acquire)
+        self.stop_end_ms.load(Ordering::Acquire) > 0
+    }
+
+    /// Returns the time until the node ends, or `None` if it is not about to stop.
+    pub fn time_to_end(&self, now: MonotonicTime) -> Option<Duration> {
+        let end = self.stop_end_ms.load(Ordering::Acquire);
+        (end > 0).then(|| Duration::from_millis(end).saturating_sub(now))
+    }
+
+    /// Returns whether the calls in progress have to end, now and whenever that changes.
+    pub fn ending(&self) -> watch::Receiver<bool> {
+        self.is_ending.subscribe()
     }
 
     /// Returns whether the node accepts no more requests.
--- a/crates/apricotknot-gateway/src/driver/admitted_call.rs
+++ b/crates/apricotknot-gateway/src/driver/admitted_call.rs
@@ -6,6 +6,7 @@
 use actix_http::RequestHead;
 use actix_http::header::HOST;
 use apricotknot_core::fleet::RequestFingerprint;
+use apricotknot_core::routing::CallKind;
 use apricotknot_core::routing::RouteSpec;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::MonotonicTime;
@@ -88,6 +89,11 @@
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
         let fingerprint = fingerprint_of(target, account.as_deref().unwrap_or_default(), &body);
         let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let time_to_end = context.shared.time_to_end(arrived);
+        if route.kind == CallKind::NonIdempotent && time_to_end.is_some_and(|left| left < timeout) {
+            // The node might end before the answer, and the caller must not ask again.
+            return Err(CallFault::Stopping);
+        }
         let bound = account.as_ref().and_then(|account| desired.account_regions.get(account));
         let regions = common_regions(&route.regions, bound);
         remove_hop_by_hop_headers(&mut head.headers);
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -13,6 +13,7 @@
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 use bytes::Bytes;
+use tokio::sync::watch;
 
 use super::AdmittedCall;
 use super::CallFault;
@@ -54,6 +55,8 @@
     pub(super) has_answer_begun: bool,
     /// Content type of the answer that was begun, if it had one.
     pub(super) content_type: Option<HeaderValue>,
+    /// Whether the node is about to end, and the call with it.
+    pub(super) ending: watch::Receiver<bool>,
     /// Endpoints that no further attempt may use.
     pub(super) excluded: Vec<EndpointId>,
     /// Endpoints that this node could not connect to.
@@ -88,6 +91,7 @@
             last_event_id,
             has_answer_begun: false,
             content_type: None,
+            ending: context.shared.ending(),
             excluded: Vec::new(),
             unreached: Vec::new(),
             relay_failures: 0,
@@ -353,8 +357,8 @@
         }
     }
 
-    /// Waits for `work` unless the caller disconnects, the deadline passes or the silence limit is
-    /// reached first.
+    /// Waits for `work` unless the caller disconnects, the deadline passes, the node ends or the silence
+    /// limit is reached first.
     pub(super) async fn unless_interrupted<F: Future>(
         &mut self,
         work: F,
@@ -376,6 +380,7 @@
             biased;
             () = self.connection.wait_closed() => Err(WaitInterrupt::CallerDisconnected),
             () = tokio::time::sleep(left) => Err(WaitInterrupt::Deadline),
+            _ = self.ending.wait_for(|is_ending| *is_ending) => Err(WaitInterrupt::Deadline),
             output = work => Ok(output),
             () = silence => Err(WaitInterrupt::Silence),
         }
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -46,8 +46,11 @@
 /// Time between two checks whether all requests are answered.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Part of the stop timeout that is left for the process to exit.
-const STOP_RESERVE: Duration = Duration::from_millis(300);
+/// Part of the stop timeout that is left for the last answers and for the process to exit.
+const STOP_RESERVE: Duration = Duration::from_millis(400);
+
+/// Longest time in which the calls that are ended are answered.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 
 /// A gateway node that serves callers until [`GatewayNode::stop`] is called.
 pub struct GatewayNode<P> {
@@ -124,23 +127,33 @@
 
     /// Stops accepting requests, and waits until the accepted ones are answered.
     ///
-    /// Waits no longer than the stop timeout of the settings, less a reserve for the process to
-    /// exit. Returns the number of requests that were still in progress then, and are aborted.
+    /// Waits no longer than the stop timeout of the settings, less a reserve. Calls that are still
+    /// in progress then end with an error answer, or truncated; returns their number.
     pub async fn stop(self) -> i64 {
-        let end = tokio::time::Instant::now() + self.stop_timeout.saturating_sub(STOP_RESERVE);
+        let stop_time = self.stop_timeout.saturating_sub(STOP_RESERVE);
+        let end = tokio::time::Instant::now() + stop_time;
         info!(self.context.logger, "node: stopping"; "open" => self.open_calls());
-        self.context.shared.mark_stopping();
+        self.context.shared.mark_stopping(self.context.clock.now() + stop_time);
         tokio::time::sleep(UNREADY_PERIOD.min(self.stop_timeout / 2)).await;
         self.context.shared.mark_closed();
         info!(self.context.logger, "node: closed to requests"; "open" => self.open_calls());
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        self.wait_for_calls(end).await;
+        let ended = self.open_calls();
+        self.context.shared.mark_ending();
+        self.wait_for_calls(end + ANSWER_RESERVE).await;
+        info!(
+            self.context.logger, "node: stopped"; "ended" => ended, "cut" => self.open_calls()
+        );
+        self.context.control.stop().await;
+        ended
+    }
+
+    /// Waits until no call is in progress, or until `end`.
+    async fn wait_for_calls(&self, end: tokio::time::Instant) {
         while self.open_calls() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
-        let aborted = self.open_calls();
-        info!(self.context.logger, "node: stopped"; "cut" => aborted);
-        self.context.control.stop().await;
-        aborted
     }
 
     fn serve_callers(&self, listener: TcpListener) {
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -184,7 +184,7 @@
 async fn node_that_stops_relays_nothing_new() {
     let relay = Relay::start(EndpointPhase::Ready).await;
     let (mut stream, mut endpoint) = relay.open_both().await;
-    relay.shared.mark_stopping();
+    relay.shared.mark_stopping(Duration::from_secs(1));
     assert_eq!(refusal(relay.open().await), Some(RelayRefusal::Stopping));
     endpoint.write_all(ANSWER).await.expect("the answer is sent");
     drop(endpoint);
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -40,6 +40,8 @@
     Full,
     /// Requests run, and the endpoint sends the refusal of another request instead of the answer.
     RefuseAnother,
+    /// Requests run, and no answer is sent.
+    Silent,
     /// Requests run, and the connection is closed before the answer.
     DropAnswer,
     /// Answers carry the id of another request.
@@ -322,6 +324,9 @@
         guard.mark_complete();
         return HttpReply::Disconnect;
     }
+    if fault == EndpointFault::Silent {
+        return HttpReply::Hang;
+    }
     if fault == EndpointFault::RefuseAnother {
         guard.mark_complete();
         let refusal = HttpReply::json(503, &json!({})).header("not-executed", "1");
