soak: a node is cut off, endpoints rest and leave

The last of the three nodes has links of its own to the endpoints, which hang or are refused beside all other faults; endpoints ask for rest, and say that they leave until they start again.

--- a/crates/apricotknot/tests/cut_off_nodes.rs
+++ b/crates/apricotknot/tests/cut_off_nodes.rs
@@ -68,7 +68,7 @@
         let replacements = endpoints.iter().zip(&links);
         let replacements =
             replacements.map(|(endpoint, link)| (endpoint.to_string(), link.address().to_string()));
-        fleet.add_node(name, replacements.collect());
+        fleet.add_node(name, replacements.collect(), |address| address);
         Self { fleet, links }
     }
 
--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -33,11 +33,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use fault_proxy::Admission;
 use fault_proxy::FaultProxy;
 use fault_proxy::LinkDirection;
 use gateway_fleet::Fleet;
 use gateway_fleet::KEY;
 use gateway_fleet::lookup_request;
+use gateway_fleet::next_node_address;
 use gateway_fleet::order_request;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
@@ -68,6 +70,12 @@
 /// Rate of requests, in requests per second, that a limited endpoint names.
 const NAMED_RATE_LIMIT: &str = "2.5";
 
+/// Rest, in seconds, that an endpoint asks for.
+const NAMED_REST: &str = "0.7";
+
+/// Index of the store among the proxies.
+const STORE: usize = 4;
+
 /// Time after the store came back from a copy until operators and endpoints write again.
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 
@@ -95,6 +103,12 @@
     EndpointDraining(usize),
     /// The endpoint names [`NAMED_RATE_LIMIT`] in its answers.
     RateLimited(usize),
+    /// The endpoint refuses requests and asks for [`NAMED_REST`].
+    Resting(usize),
+    /// The endpoint says in its answers that it leaves; it starts again at the end.
+    Leaving(usize),
+    /// The last node loses its links to all endpoints, which treat new connections as given.
+    NodeCut(Admission),
     /// Node, and index into [`SIGNAL_SERIES`].
     Signals(usize, usize),
     StoreDown,
@@ -111,6 +125,8 @@
     fleet: Fleet,
     /// Proxies for the four endpoints and the store.
     proxies: Vec<FaultProxy>,
+    /// Proxies over which the last node alone reaches the four endpoints and the store.
+    links: Vec<FaultProxy>,
     log: Arc<SoakLog>,
     random: StdRng,
     /// Copies of the store that it comes back from.
@@ -125,14 +141,28 @@
 impl Soak {
     fn start(seed: u64) -> Self {
         let mut proxies = Vec::new();
-        let fleet = Fleet::start_with_proxies(&format!("soak-{seed}"), NODE_COUNT, |address| {
+        let name = format!("soak-{seed}");
+        let mut fleet = Fleet::start_with_proxies(&name, NODE_COUNT - 1, |address| {
             proxies.push(FaultProxy::start(address));
             proxies.last().map_or(address, FaultProxy::address)
         });
+        let endpoints = fleet.engines.iter().chain(&fleet.plain_endpoints);
+        let shared: Vec<_> = endpoints.map(|endpoint| fleet.proxied_address(endpoint)).collect();
+        let start_link = |address| FaultProxy::start_at(next_node_address(), address);
+        let mut links: Vec<FaultProxy> = shared.iter().copied().map(start_link).collect();
+        let replacements = shared
+            .iter()
+            .zip(&links)
+            .map(|(address, link)| (address.to_string(), link.address().to_string()));
+        fleet.add_node(&name, replacements.collect(), |address| {
+            links.push(start_link(address));
+            links.last().map_or(address, FaultProxy::address)
+        });
         let log = SoakLog::new(fleet.nodes.iter().map(|node| node.caller_address));
         Self {
             fleet,
             proxies,
+            links,
             log: Arc::new(log),
             random: StdRng::seed_from_u64(seed),
             copies: Vec::new(),
@@ -192,7 +222,7 @@
             7 => EndpointFault::WrongRequestId,
             _ => EndpointFault::ServerError,
         };
-        let fault = match self.random.random_range(0..20) {
+        let fault = match self.random.random_range(0..26) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
             2 => SoakFault::LinkBlocked(proxy, LinkDirection::ToClient),
@@ -205,6 +235,10 @@
             14 => SoakFault::StoreDown,
             15 | 16 => SoakFault::StoreRestored(self.copies.len()),
             17 | 18 => SoakFault::RateLimited(endpoint),
+            20 => SoakFault::Resting(endpoint),
+            21 => SoakFault::Leaving(endpoint),
+            22 | 23 => SoakFault::NodeCut(Admission::Refused),
+            24 | 25 => SoakFault::NodeCut(Admission::Unanswered),
             _ if lock(&self.log.revoked_at).is_none() => SoakFault::KeyRevoked,
             _ => SoakFault::StoreCompacted,
         };
@@ -224,16 +258,27 @@
     fn apply(&mut self, fault: SoakFault) {
         match fault {
             SoakFault::LinkDelay(proxy, delay) => {
-                self.proxies[proxy].set_delay(Duration::from_millis(delay));
+                let delay = Duration::from_millis(delay);
+                self.ways_to(proxy).for_each(|way| way.set_delay(delay));
             },
             SoakFault::LinkBlocked(proxy, direction) => {
-                self.proxies[proxy].set_blocked(direction, true)
+                self.ways_to(proxy).for_each(|way| way.set_blocked(direction, true));
             },
             SoakFault::LinkBlockedBothWays(proxy) => {
-                self.proxies[proxy].set_blocked(LinkDirection::ToTarget, true);
-                self.proxies[proxy].set_blocked(LinkDirection::ToClient, true);
+                self.ways_to(proxy).for_each(|way| set_blocked(way, true));
+            },
+            SoakFault::LinkReset(proxy) => self.ways_to(proxy).for_each(FaultProxy::reset_all),
+            SoakFault::Resting(endpoint) => self.endpoint(endpoint).set_rest(Some(NAMED_REST)),
+            SoakFault::Leaving(endpoint) => self.endpoint(endpoint).set_leaving(true),
+            SoakFault::NodeCut(admission) => {
+                for link in &self.links[..STORE] {
+                    link.set_admission(admission);
+                    match admission {
+                        Admission::Unanswered => set_blocked(link, true),
+                        Admission::Open | Admission::Refused => link.reset_all(),
+                    }
+                }
             },
-            SoakFault::LinkReset(proxy) => self.proxies[proxy].reset_all(),
             SoakFault::Endpoint(endpoint, endpoint_fault) => {
                 self.endpoint(endpoint).set_fault(endpoint_fault)
             },
@@ -275,10 +320,23 @@
 
     fn revert(&mut self, fault: SoakFault) {
         match fault {
-            SoakFault::LinkDelay(proxy, _) => self.proxies[proxy].set_delay(Duration::ZERO),
+            SoakFault::LinkDelay(proxy, _) => {
+                self.ways_to(proxy).for_each(|way| way.set_delay(Duration::ZERO));
+            },
             SoakFault::LinkBlocked(proxy, _) | SoakFault::LinkBlockedBothWays(proxy) => {
-                self.proxies[proxy].set_blocked(LinkDirection::ToTarget, false);
-                self.proxies[proxy].set_blocked(LinkDirection::ToClient, false);
+                self.ways_to(proxy).for_each(|way| set_blocked(way, false));
+            },
+            SoakFault::Resting(endpoint) => self.endpoint(endpoint).set_rest(None),
+            SoakFault::Leaving(endpoint) => {
+                self.endpoint(endpoint).set_leaving(false);
+                self.fleet.begin_lifetime(&endpoint_id(endpoint));
+                self.announce(endpoint, "ready");
+            },
+            SoakFault::NodeCut(_) => {
+                for link in &self.links[..STORE] {
+                    link.set_admission(Admission::Open);
+                    set_blocked(link, false);
+                }
             },
             SoakFault::Endpoint(endpoint, _) => {
                 self.endpoint(endpoint).set_fault(EndpointFault::None);
@@ -319,6 +377,13 @@
         }
     }
 
+    /// Returns the proxies that a fault of the way to an endpoint or to the store affects.
+    fn ways_to(&self, index: usize) -> impl Iterator<Item = &FaultProxy> {
+        // The last node's links to endpoints lead to the proxies of the others.
+        let own = self.links.get(index).filter(|_| index == STORE);
+        self.proxies.get(index).into_iter().chain(own)
+    }
+
     fn set_service_fault(&self, service: usize, endpoint_fault: EndpointFault) {
         for endpoint in [service * 2, service * 2 + 1] {
             self.endpoint(endpoint).set_fault(endpoint_fault);
@@ -336,11 +401,8 @@
     }
 
     fn announce(&self, index: usize, state: &str) {
-        let (id, service) = match index {
-            0 | 1 => (format!("engine-{}", index + 1), "model"),
-            _ => (format!("desk-{}", index - 1), "desk"),
-        };
-        self.fleet.announce(&id, service, self.endpoint(index), state);
+        let service = if index < 2 { "model" } else { "desk" };
+        self.fleet.announce(&endpoint_id(index), service, self.endpoint(index), state);
     }
 
     /// Checks that every node serves all kinds of calls again after the faults have ended.
@@ -383,6 +445,18 @@
     }
 }
 
+fn endpoint_id(index: usize) -> String {
+    match index {
+        0 | 1 => format!("engine-{}", index + 1),
+        _ => format!("desk-{}", index - 1),
+    }
+}
+
+fn set_blocked(way: &FaultProxy, is_blocked: bool) {
+    way.set_blocked(LinkDirection::ToTarget, is_blocked);
+    way.set_blocked(LinkDirection::ToClient, is_blocked);
+}
+
 /// Runs all seeds, prints the violations and fails if there are any.
 fn run_seeds(seeds: impl Iterator<Item = u64>) {
     let mut failed = Vec::new();
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -12,6 +12,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
@@ -77,6 +78,8 @@
     proxied_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// What single nodes read of the store.
     views: Vec<MetadataView>,
+    /// Number of the present lifetime of each endpoint that has started again.
+    lifetimes: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Fleet {
@@ -122,6 +125,7 @@
             version: 7,
             proxied_addresses,
             views: Vec::new(),
+            lifetimes: Mutex::default(),
         };
         fleet.announce_all();
         fleet.configure(&[KEY]);
@@ -133,10 +137,17 @@
     }
 
     /// Starts one more node, which reads `replacements` in place of the addresses of endpoints.
-    pub(crate) fn add_node(&mut self, name: &str, replacements: TextReplacements) {
+    ///
+    /// It reaches the store at the address that `proxy_address` returns for its own.
+    pub(crate) fn add_node(
+        &mut self,
+        name: &str,
+        replacements: TextReplacements,
+        proxy_address: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) {
         let view = self.store.start_view(any_loopback_address(), replacements);
         let view = view.expect("a view of the store starts");
-        let store = view.address();
+        let store = proxy_address(view.address());
         let node = self.start_node_at(name, self.nodes.len(), "revoke_ms = 3000", store);
         self.views.push(view);
         wait_until("a node is ready", || node.is_ready());
@@ -165,11 +176,22 @@
         self.plain_endpoints.iter().flat_map(EndpointServer::executions).collect()
     }
 
+    /// Begins another lifetime of an endpoint, which its next registration tells.
+    pub(crate) fn begin_lifetime(&self, id: &str) {
+        *self.lifetimes.lock().expect("lifetimes").entry(id.to_owned()).or_insert(1) += 1;
+    }
+
+    /// Returns the address at which nodes reach an endpoint.
+    pub(crate) fn proxied_address(&self, server: &EndpointServer) -> SocketAddr {
+        self.proxied_addresses[&server.address()]
+    }
+
     /// Registers one endpoint in the store with the given state.
     pub(crate) fn announce(&self, id: &str, service: &str, server: &EndpointServer, state: &str) {
+        let born = self.lifetimes.lock().expect("lifetimes").get(id).copied().unwrap_or(1);
         let entry = json!({
             "service": service, "addr": self.proxied_addresses[&server.address()].to_string(),
-            "zone": "north", "slots": 4, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1,
+            "zone": "north", "slots": 4, "state": state, "coldRemainingMs": 0, "seq": 1, "born": born,
         });
         self.store.put(&format!("servers/{id}"), &entry);
     }
