gateway: reserved memory that no engine begins to use is released in time

Such an attempt is now given up after nine tenths of the time for which the platform allows unused memory (reserved_idle_ms, 9 s by default); the call may go on at another engine.

--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -24,6 +24,8 @@
     pub(super) helpers: Vec<HelperGrant>,
     /// Keeps the memory of the helpers reserved while the attempt is open.
     pub(super) _reservations: ReservationGuard,
+    /// Time until which an endpoint has to begin to use reserved memory, if any is.
+    pub(super) unused_until: Option<MonotonicTime>,
     /// Connection to the endpoint.
     pub(super) exchange: EndpointExchange,
     /// Longest time without progress of the answer, or `None` for no limit.
@@ -49,6 +51,17 @@
         self.silence_limit.map(|limit| (self.progress_at + limit).saturating_sub(now))
     }
 
+    /// Returns the time until the attempt is given up at `now` because its memory is not used.
+    pub(super) fn unused_left(&self, now: MonotonicTime) -> Option<Duration> {
+        let until = self.unused_until.filter(|_| !self.has_begun)?;
+        Some(until.saturating_sub(now))
+    }
+
+    /// Returns whether the attempt is to be given up at `now` because its memory is not used.
+    pub(super) fn is_unused(&self, now: MonotonicTime) -> bool {
+        self.unused_left(now).is_some_and(|left| left.is_zero())
+    }
+
     /// Returns how the attempt ends if the endpoint answers with an error.
     ///
     /// Asking for rest is no fault of the endpoint.
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -38,6 +38,9 @@
 /// grant, which is made from what it has learned since.
 const GRANT_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Fraction of the time for which memory may stay unused that is left to release it.
+const IDLE_RESERVE_FRACTION: f64 = 0.1;
+
 /// Longest prompt, in tokens, that endpoints prefill before longer ones.
 const MAX_SHORT_PROMPT_TOKENS: u64 = 24_000;
 
@@ -103,6 +106,7 @@
             exchange,
             silence_limit: self.silence_limit(grant.expected_start),
             helpers: grant.helpers,
+            unused_until: reservations.is_holding().then(|| granted_at + self.unused_limit()),
             _reservations: reservations,
             is_rate_limited: grant.is_rate_limited,
             rest: RestStatement::None,
@@ -113,6 +117,11 @@
         })
     }
 
+    /// Returns the time from a grant until an endpoint has to begin to use reserved memory.
+    fn unused_limit(&self) -> Duration {
+        self.context.reserved_idle_time.mul_f64(1.0 - IDLE_RESERVE_FRACTION)
+    }
+
     /// Returns the head of the request as the endpoint of an attempt receives it.
     fn attempt_head(&self, endpoint: &EndpointId, helpers: Vec<HelperAddress>) -> RequestHead {
         let mut head = self.call.head.clone();
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -340,7 +340,8 @@
     /// Waits for the next part of an answer.
     ///
     /// If the endpoint is silent for too long, a replacement is requested. If there is none, the
-    /// wait goes on without a silence limit.
+    /// wait goes on without a silence limit, but not beyond the time for which other endpoints keep
+    /// memory that is not used.
     pub(super) async fn next_step<T>(
         &mut self,
         open: &mut OpenAttempt,
@@ -348,7 +349,11 @@
     ) -> Result<T, WaitInterrupt> {
         loop {
             let silence_left = open.silence_left(self.now());
-            match self.unless_interrupted(step(&mut open.exchange), silence_left).await {
+            let limit = silence_left.into_iter().chain(open.unused_left(self.now())).min();
+            match self.unless_interrupted(step(&mut open.exchange), limit).await {
+                Err(WaitInterrupt::Silence) if open.is_unused(self.now()) => {
+                    return Err(WaitInterrupt::Silence);
+                },
                 Err(WaitInterrupt::Silence) if !self.find_replacement(&open.endpoint).await => {
                     open.silence_limit = None;
                 },
--- a/crates/apricotknot-gateway/src/driver/context.rs
+++ b/crates/apricotknot-gateway/src/driver/context.rs
@@ -1,6 +1,7 @@
 //! State that all calls of one traffic thread share.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::ServiceConfig;
 use apricotknot_core::types::NodeId;
@@ -16,6 +17,8 @@
 pub struct TrafficContext<P> {
     /// Name of the node.
     pub node: NodeId,
+    /// Longest time for which endpoints keep memory that no request uses.
+    pub reserved_idle_time: Duration,
     /// Translator of the headers of callers and endpoints.
     pub protocol: P,
     /// Settings of the HTTP codec.
--- a/crates/apricotknot-gateway/src/driver/reservation.rs
+++ b/crates/apricotknot-gateway/src/driver/reservation.rs
@@ -51,7 +51,14 @@
 /// Keeps the memory of all helpers reserved; it is released when the guard is dropped.
 #[derive(Debug)]
 pub(super) struct ReservationGuard {
-    _stop: Option<oneshot::Sender<()>>,
+    stop_signal: Option<oneshot::Sender<()>>,
+}
+
+impl ReservationGuard {
+    /// Returns whether any memory is reserved.
+    pub(super) fn is_holding(&self) -> bool {
+        self.stop_signal.is_some()
+    }
 }
 
 /// Sends requests about reservations to endpoints.
@@ -90,12 +97,12 @@
         })
         .collect();
     if reservations.is_empty() {
-        return Ok((addresses, ReservationGuard { _stop: None }));
+        return Ok((addresses, ReservationGuard { stop_signal: None }));
     }
     let client = ReservationClient { context: context.clone() };
     // The guard releases the memory even if this future is dropped before its end.
     let (stop, stopped) = oneshot::channel();
-    let guard = ReservationGuard { _stop: Some(stop) };
+    let guard = ReservationGuard { stop_signal: Some(stop) };
     let (answer, answered) = oneshot::channel();
     actix_rt::spawn(client.maintain(reservations, answer, stopped));
     // The task answers before it ends.
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -91,6 +91,7 @@
             "callers" => %settings.caller_address, "operations" => %settings.operations_address
         );
         let stop_timeout = settings.stop_timeout;
+        let reserved_idle_time = settings.reserved_idle_time;
         let parts = {
             let (shared, logger) = (Arc::clone(&shared), logger.clone());
             move || ControlParts {
@@ -110,6 +111,7 @@
         let (control, _) = start_control(parts)?;
         let context = TrafficContext {
             node: name,
+            reserved_idle_time,
             protocol,
             http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
             shared,
--- a/crates/apricotknot-gateway/src/gateway_settings.rs
+++ b/crates/apricotknot-gateway/src/gateway_settings.rs
@@ -33,6 +33,8 @@
     pub staleness: StalenessLimits,
     /// Longest interval between two reads of the key-value service.
     pub max_read_interval: Duration,
+    /// Longest time for which endpoints keep memory that no request uses.
+    pub reserved_idle_time: Duration,
     /// Longest duration of a planned stop.
     pub stop_timeout: Duration,
     /// Limit of the retries that all nodes together send.
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -71,6 +71,7 @@
         let metrics = Arc::new(GatewayMetrics::new());
         let context = TrafficContext {
             node: "relay".into(),
+            reserved_idle_time: Duration::from_secs(9),
             protocol: (),
             http: ServiceConfig::default(),
             shared: Arc::clone(&shared),
--- a/crates/apricotknot/src/settings/gateway_node_settings.rs
+++ b/crates/apricotknot/src/settings/gateway_node_settings.rs
@@ -103,6 +103,7 @@
             max_deny_age: apply_time.saturating_sub(APPLY_MARGIN),
         },
         max_read_interval: drain_time.saturating_sub(READ_MARGIN).clamp(shortest, longest),
+        reserved_idle_time: section.milliseconds("reserved_idle_ms", 9_000, 1_000..=600_000)?,
         stop_timeout: seconds(&mut section, "stop_s", 8.0)?,
         retries: read_retries(SectionReader::new(path, ini, "retries"))?,
     };
--- a/crates/apricotknot/tests/support/fault_proxy.rs
+++ b/crates/apricotknot/tests/support/fault_proxy.rs
@@ -31,6 +31,9 @@
 /// Interval at which a proxy looks for new connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Attempts to bind an address again.
+const BIND_ATTEMPTS: usize = 100;
+
 /// Connections that fill the queue of a listener which accepts none.
 const QUEUE_FILL: usize = 3;
 
@@ -166,8 +169,17 @@
     }
 }
 
+/// Listens at `address`; the system may free it only some time after the last listener was closed.
 fn bind_listener(address: SocketAddr) -> TcpListener {
-    let listener = TcpListener::bind(address).expect("the proxy binds its address");
+    let mut listener = TcpListener::bind(address);
+    for _ in 0..BIND_ATTEMPTS {
+        if listener.is_ok() {
+            break;
+        }
+        sleep(POLL_INTERVAL);
+        listener = TcpListener::bind(address);
+    }
+    let listener = listener.expect("the proxy binds its address");
     listener.set_nonblocking(true).expect("the proxy polls its listener");
     listener
 }
@@ -176,6 +188,8 @@
 fn unanswered_listener(address: SocketAddr) -> ProxyListener {
     let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     listener.set_reuse_address(true).expect("the address is reused");
+    // Binds only once a listener of the usual kind could.
+    drop(bind_listener(address));
     listener.bind(&address.into()).expect("the proxy binds its address");
     listener.listen(0).expect("the proxy listens");
     let queued = (0..QUEUE_FILL).map(|_| {
