--- a/crates/apricotknot/tests/gateway_settings.rs
+++ b/crates/apricotknot/tests/gateway_settings.rs
@@ -70,6 +70,10 @@
         ("{{bounds.configApplyMs}}", "3000"),
         ("{{bounds.drainMs}}", "4000"),
         ("{{bounds.graceS}}", "8"),
+        (
+            "{{#bounds.idleMaxMs}}reserved_idle_ms = {{bounds.idleMaxMs}}\n{{/bounds.idleMaxMs}}",
+            "reserved_idle_ms = 7000",
+        ),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.retryBudgetSlack}}", "104"),
         ("{{bounds.budgetWindowS}}", "10"),
@@ -84,4 +88,5 @@
     let file = parse(&text).expect("sound settings");
     assert_eq!(file.gateway.regions.len(), 2);
     assert_eq!(file.gateway.peer_address.port(), 7_340);
+    assert_eq!(file.gateway.reserved_idle_time, Duration::from_secs(7));
 }
