--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -86,6 +86,9 @@
             Ok(Err(error)) => return Err(self.end_unconnected(guard, grant.endpoint, &error)),
             Ok(Ok(connection)) => connection,
         };
+        if let Some(peer) = connection.relayed_by() {
+            self.log_relayed(&grant.endpoint, peer);
+        }
         if !self.is_still_permitted(&guard, granted_at).await {
             let cause = "the grant is no longer valid";
             self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -6,6 +6,7 @@
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::types::EndpointId;
+use apricotknot_core::types::NodeId;
 use slog::info;
 use slog::warn;
 
@@ -81,6 +82,15 @@
         );
     }
 
+    /// Logs that a peer has connected to the endpoint of an attempt.
+    pub(super) fn log_relayed(&self, endpoint: &EndpointId, peer: &NodeId) {
+        info!(
+            self.context.logger, "call: connected through a peer";
+            "request" => %self.call.metadata.request_id, "endpoint" => %endpoint,
+            "peer" => &**peer
+        );
+    }
+
     /// Counts and logs an attempt that failed.
     pub(super) fn record_failed_attempt(
         &self,
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -7,7 +7,6 @@
 use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::NodeId;
-use slog::info;
 use slog::warn;
 
 use super::TrafficContext;
@@ -101,13 +100,9 @@
             context.metrics.relayed_attempts.inc();
             let relayed = ControlCommand::EndpointRelayed { endpoint: Arc::clone(endpoint) };
             context.control.send(relayed);
-            info!(
-                context.logger, "call: connected through a peer";
-                "endpoint" => %endpoint, "peer" => &*peer.node
-            );
         },
         Err(error) => warn!(
-            context.logger, "call: not connected through a peer";
+            context.logger, "relay: peer makes no connection; asking another one";
             "endpoint" => %endpoint, "peer" => &*peer.node, "error" => %error
         ),
     }
