--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -53,6 +53,8 @@
     pub address: SocketAddr,
     /// Way to the endpoint.
     pub path: EndpointPath,
+    /// Whether this node also tries to connect itself, to learn whether it is still cut off.
+    pub probes: bool,
     /// Endpoints that prefill parts of the prompt.
     pub helpers: Vec<HelperGrant>,
     /// Whether the endpoint states a limit of its request rate.
--- a/crates/apricotknot-gateway/src/control/endpoint_path.rs
+++ b/crates/apricotknot-gateway/src/control/endpoint_path.rs
@@ -18,11 +18,13 @@
 pub enum EndpointPath {
     /// Connections of this node.
     Direct,
-    /// Connections that a peer relays, as this node is cut off.
-    Relayed {
-        /// Peers to ask, in order.
-        peers: Vec<RelayPeer>,
-        /// Whether this node also tries to connect itself, to learn whether it is still cut off.
-        probes: bool,
-    },
+    /// Connections that one of these peers relays, as this node is cut off; they are asked in order.
+    Relayed(Vec<RelayPeer>),
+}
+
+impl EndpointPath {
+    /// Returns whether this node cannot connect itself.
+    pub fn is_relayed(&self) -> bool {
+        matches!(self, Self::Relayed(_))
+    }
 }
--- a/crates/apricotknot-gateway/src/control/state/paths.rs
+++ b/crates/apricotknot-gateway/src/control/state/paths.rs
@@ -1,5 +1,6 @@
 //! Ways to endpoints: whether this node is cut off, and which connections it relays for others.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,10 +89,12 @@
     pub(super) fn record_relay_ended(&mut self) {
         self.open_relays = self.open_relays.saturating_sub(1);
     }
+}
 
-    /// Returns the way to an endpoint for a request, and begins the time until the next probe.
-    pub(super) fn take_path(
-        &mut self,
+impl ControlState {
+    /// Returns the way to an endpoint for a request.
+    pub(super) fn path_to(
+        &self,
         endpoint: &EndpointId,
         query: &PlacementQuery,
         now: MonotonicTime,
@@ -103,12 +106,9 @@
         if peers.is_empty() {
             return EndpointPath::Direct;
         }
-        let probes = self.fleet.take_probe(&query.service, now);
-        EndpointPath::Relayed { peers, probes }
+        EndpointPath::Relayed(peers)
     }
-}
 
-impl ControlState {
     /// Returns whether this node cannot connect to the endpoints of `service`, and others can.
     pub(super) fn is_relayed(&self, service: &ServiceId, now: MonotonicTime) -> bool {
         self.fleet.is_cut_off(service, now) && self.fleet.relays(service, now).next().is_some()
@@ -123,7 +123,7 @@
         &self,
         endpoint: &EndpointId,
         now: MonotonicTime,
-    ) -> Result<std::net::SocketAddr, RelayRefusal> {
+    ) -> Result<SocketAddr, RelayRefusal> {
         let state = self.fleet.endpoint(endpoint).ok_or(RelayRefusal::NotPermitted)?;
         if !self.fleet.may_send(state, now) {
             return Err(RelayRefusal::NotPermitted);
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -125,7 +125,8 @@
             return;
         };
         let attempt = waiting.request.attempt;
-        let path = self.take_path(&plan.endpoint, query, now);
+        let path = self.path_to(&plan.endpoint, query, now);
+        let probes = path.is_relayed() && self.fleet.take_probe(&query.service, now);
         self.fleet.record_start(attempt, query, &plan, now);
         self.has_unsent_changes = true;
         let (endpoint, expected_start) = (plan.endpoint, plan.expected_start);
@@ -136,6 +137,7 @@
             endpoint,
             address,
             path,
+            probes,
             helpers,
             is_rate_limited,
             expected_start,
@@ -145,13 +147,13 @@
     }
 
     fn grant_helper(
-        &mut self,
+        &self,
         part: &HelperPart,
         query: &PlacementQuery,
         now: MonotonicTime,
     ) -> Option<HelperGrant> {
         let address = self.fleet.endpoint(&part.endpoint)?.entry.address;
-        let path = self.take_path(&part.endpoint, query, now);
+        let path = self.path_to(&part.endpoint, query, now);
         let (endpoint, memory) = (Arc::clone(&part.endpoint), part.memory);
         Some(HelperGrant { endpoint, address, path, memory })
     }
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -20,7 +20,6 @@
 use crate::control::AttemptGuard;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
-use crate::control::EndpointPath;
 use crate::endpoint::CONNECT_TIMEOUT;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
@@ -73,7 +72,7 @@
                 return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
             },
         };
-        if let EndpointPath::Relayed { probes: true, .. } = grant.path {
+        if grant.probes {
             probe(self.context, &grant.endpoint, grant.address);
         }
         let connecting =
@@ -148,21 +147,26 @@
         error: &ExchangeError,
     ) -> CallInterrupt {
         let refusal = match error {
-            ExchangeError::Relay(error) => Some(error.refusal()),
+            ExchangeError::Relay(error) => error.refusal(),
             _ => None,
         };
-        let end = match refusal {
-            None => AttemptEnd::Unreachable,
-            Some(Some(RelayRefusal::Unreached)) => AttemptEnd::Gone,
-            Some(_) => AttemptEnd::Abandoned,
+        let end = match (error, refusal) {
+            (ExchangeError::Unreachable(_) | ExchangeError::ConnectTimeout(_), _) => {
+                AttemptEnd::Unreachable
+            },
+            (_, Some(RelayRefusal::Unreached)) => AttemptEnd::Gone,
+            _ => AttemptEnd::Abandoned,
         };
         guard.set_end(end);
         drop(guard);
         self.record_failed_attempt(&endpoint, end, &error.to_string());
-        match refusal {
-            None => self.unreached.push(endpoint),
-            Some(Some(refusal)) if refusal.is_about_endpoint() => self.excluded.push(endpoint),
-            Some(_) => self.relay_failures += 1,
+        let is_about_endpoint = refusal.is_some_and(RelayRefusal::is_about_endpoint);
+        match error {
+            ExchangeError::Unreachable(_) | ExchangeError::ConnectTimeout(_) => {
+                self.unreached.push(endpoint);
+            },
+            ExchangeError::Relay(_) if !is_about_endpoint => self.relay_failures += 1,
+            _ => self.excluded.push(endpoint),
         }
         CallInterrupt::Attempt(AttemptFault::NotRun)
     }
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -17,7 +17,6 @@
 use crate::clock::millis;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
-use crate::control::EndpointPath;
 use crate::protocol::AnswerMetadata;
 use crate::protocol::CallProtocol;
 
@@ -72,7 +71,7 @@
             self.context.logger, "call: placed";
             "request" => %self.call.metadata.request_id, "endpoint" => %grant.endpoint,
             "is_rate_limited" => grant.is_rate_limited,
-            "is_relayed" => matches!(grant.path, EndpointPath::Relayed { .. }),
+            "is_relayed" => grant.path.is_relayed(),
             "helpers" => grant.helpers.len(), "held" => grant.reserved_tokens(),
             "prompt" => self.call.metadata.size.prompt,
             "expected_ms" => millis(grant.expected_start),
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -34,10 +34,11 @@
     path: &EndpointPath,
     timeout: Duration,
 ) -> Result<EndpointConnection, ExchangeError> {
-    let EndpointPath::Relayed { peers, .. } = path else {
+    let EndpointPath::Relayed(peers) = path else {
         let stream = connect(address, timeout).await?;
         if context.shared.is_path_suspect() {
-            report_path(context, endpoint, true);
+            let endpoint = Arc::clone(endpoint);
+            context.control.send(ControlCommand::PathTried { endpoint, is_reached: true });
         }
         return Ok(EndpointConnection::Direct(stream));
     };
@@ -108,8 +109,3 @@
     }
     opened
 }
-
-fn report_path<P>(context: &TrafficContext<P>, endpoint: &EndpointId, is_reached: bool) {
-    let endpoint = Arc::clone(endpoint);
-    context.control.send(ControlCommand::PathTried { endpoint, is_reached });
-}
