--- a/crates/apricotknot/tests/cut_off_nodes.rs
+++ b/crates/apricotknot/tests/cut_off_nodes.rs
@@ -185,3 +185,28 @@
 fn node_that_all_endpoints_refuse_serves_its_callers() {
     check_cut("refused", CutManner::NewRefused);
 }
+
+#[test]
+fn node_that_is_cut_off_serves_its_callers_while_its_peers_end_one_after_the_other() {
+    let fleet = CutFleet::start("ending-peers", 3);
+    fleet.cut(CutManner::Silent);
+    send_for(fleet.cut_node(), "settling", SETTLING_TIME);
+    let (mut served, mut sent) = (0, 0);
+    for round in 0..COUNTED_ROUNDS {
+        match round {
+            2 => fleet.fleet.nodes[0].signal("-KILL"),
+            4 => fleet.fleet.nodes[1].signal("-TERM"),
+            _ => {},
+        }
+        let (round_served, round_sent) = send_round(fleet.cut_node(), &format!("cut-{round}"));
+        (served, sent) = (served + round_served, sent + round_sent);
+    }
+    assert!(served * 3 >= sent * 2, "served {served} of {sent} first attempts");
+    println!("served {served} of {sent} first attempts");
+    let executions = fleet.executions();
+    for round in 0..COUNTED_ROUNDS {
+        let id = format!("cut-{round}-order");
+        let runs = executions.iter().filter(|run| run.request_id == id).count();
+        assert!(runs <= 1, "{runs} runs of {id}");
+    }
+}
