reading the diff: requested backoffs, ways to endpoints in a file of their own, shorter steps of an attempt

Cause: read as a newcomer, the code took the users' word rest for what the field calls a backoff that a server asks for, 'wishes' and 'is_open' said nothing, FleetState had grown by a second job, and open_attempt was 70 lines long.

Change: rest is requested backoff in types, files, logs and tests (RestStatement is BackoffStatement, endpoint_rest is requested_backoff, resting_endpoints is endpoint_notices; log lines and the cause of the refusal follow, docs too); report_wishes is report_notices, is_open of the fleet is takes_requests, relays is relay_peers; fleet_paths.rs holds what the fleet knows of ways; open_attempt calls reserve_memory and connect.

Ruled out: a change in order of commands to the control thread. The guard of an attempt is dropped when open_attempt returns, before the next placement is asked for, as before.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -11,7 +11,6 @@
 use super::EndpointPhase;
 use super::LoadSnapshot;
 use super::NodeOrder;
-use super::PathChange;
 use super::PathHealth;
 use super::PlacementPlan;
 use super::PlacementQuery;
@@ -22,8 +21,8 @@
 use super::WorkRole;
 use super::WorkSnapshot;
 use super::endpoint_leaving::LeavingTable;
-use super::endpoint_rest::RestTable;
 use super::endpoint_state::EndpointState;
+use super::requested_backoff::BackoffTable;
 use crate::membership::hash_text;
 use crate::routing::ServiceProfile;
 use crate::types::AttemptId;
@@ -44,13 +43,13 @@
 const MAX_WAIT_SNAPSHOTS: usize = 16;
 
 #[derive(Clone, Debug)]
-struct PeerView {
+pub(super) struct PeerView {
     incarnation: u64,
     sequence: u64,
     received: MonotonicTime,
-    work_items: Vec<WorkItem>,
+    pub(super) work_items: Vec<WorkItem>,
     waits: Vec<WaitSnapshot>,
-    relay: Option<RelayStatus>,
+    pub(super) relay: Option<RelayStatus>,
 }
 
 /// Holds the endpoints that one node knows, its own work and the last snapshot of each other node.
@@ -73,9 +72,9 @@
     /// Nodes that share the limits of the fleet, this one included.
     pub(super) node_order: NodeOrder,
     /// Whether this node reaches the endpoints by connections of its own.
-    path_health: PathHealth,
-    /// Rests that endpoints have asked for.
-    pub(super) rests: RestTable,
+    pub(super) path_health: PathHealth,
+    /// Backoffs that endpoints have asked for.
+    pub(super) backoffs: BackoffTable,
     /// Endpoints whose answers say that they leave.
     pub(super) leaving: LeavingTable,
 }
@@ -97,7 +96,7 @@
             peers: BTreeMap::new(),
             node_order: NodeOrder::new(node, []),
             path_health: PathHealth::default(),
-            rests: RestTable::default(),
+            backoffs: BackoffTable::default(),
             leaving: LeavingTable::default(),
         }
     }
@@ -216,58 +215,6 @@
         }
     }
 
-    /// Records that this node could not connect to an endpoint; returns the change if it counts as
-    /// cut off from now on.
-    pub fn record_unreached(
-        &mut self,
-        endpoint: &EndpointId,
-        now: MonotonicTime,
-    ) -> Option<PathChange> {
-        let service = ServiceId::clone(&self.endpoints.get(endpoint)?.entry.service);
-        let count = self.endpoint_count(&service);
-        self.path_health.record_unreached(&service, endpoint, count, now)
-    }
-
-    /// Records that this node connected to an endpoint; returns the change if it was cut off until
-    /// now.
-    pub fn record_reached(
-        &mut self,
-        endpoint: &EndpointId,
-        now: MonotonicTime,
-    ) -> Option<PathChange> {
-        let service = ServiceId::clone(&self.endpoints.get(endpoint)?.entry.service);
-        let count = self.endpoint_count(&service);
-        for state in self.endpoints.values_mut() {
-            state.confirm_unreached();
-        }
-        self.path_health.record_reached(&service, endpoint, count, now)
-    }
-
-    /// Records that another node connected to an endpoint for this one.
-    pub fn record_relayed(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
-        self.path_health.record_relayed(endpoint, now);
-        if self.path_health.is_link_cut(endpoint, now)
-            && let Some(state) = self.endpoints.get_mut(endpoint)
-        {
-            state.forget_unreached();
-        }
-    }
-
-    /// Returns whether this node, which is cut off from `service`, is to try one of its endpoints.
-    pub fn take_probe(&mut self, service: &ServiceId, now: MonotonicTime) -> bool {
-        self.path_health.take_probe(service, now)
-    }
-
-    /// Takes back what failed connections have said of endpoints: this node is cut off, and other
-    /// nodes reach them.
-    pub fn forget_unreached(&mut self) {
-        for endpoint in self.path_health.unreached() {
-            if let Some(state) = self.endpoints.get_mut(endpoint) {
-                state.forget_unreached();
-            }
-        }
-    }
-
     /// Records that an endpoint began an answer after `ratio` times the expected time.
     pub fn record_slowdown(&mut self, endpoint: &str, ratio: f64, now: MonotonicTime) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
@@ -331,53 +278,12 @@
         self.services.get(service)
     }
 
-    /// Returns whether this node cannot connect to any endpoint of `service`, as far as it knows.
-    pub fn is_cut_off(&self, service: &ServiceId, now: MonotonicTime) -> bool {
-        self.path_health.is_cut_off(service, self.endpoint_count(service), now)
-    }
-
-    /// Returns whether this node cannot connect to an endpoint that may be sound.
-    pub fn is_link_cut(&self, endpoint: &EndpointId, now: MonotonicTime) -> bool {
-        let service = self.endpoints.get(endpoint).map(|state| &state.entry.service);
-        self.path_health.is_link_cut(endpoint, now)
-            || service.is_some_and(|service| self.is_cut_off(service, now))
-    }
-
-    /// Returns the other nodes that reach the endpoints of `service`, each with the number of
-    /// attempts that it runs and of connections that it relays.
-    pub fn relays(
+    /// Returns the other nodes whose last snapshot is recent.
+    pub(super) fn recent_peers(
         &self,
-        service: &ServiceId,
         now: MonotonicTime,
-    ) -> impl Iterator<Item = (&NodeId, u32)> {
-        let peers = self.peers.iter();
-        let peers = peers.filter(move |(_, view)| view.received + SNAPSHOT_LIFETIME > now);
-        peers.filter_map(move |(node, view)| {
-            let relay = view.relay.as_ref()?;
-            let runners = view.work_items.iter().filter(|work| work.role == WorkRole::Runner);
-            let load = relay.open + u32::try_from(runners.count()).unwrap_or(u32::MAX);
-            (!relay.cut_services.contains(service)).then_some((node, load))
-        })
-    }
-
-    /// Returns the services some of whose endpoints this node cannot reach, as far as it knows.
-    pub fn cut_services(&self, now: MonotonicTime) -> Vec<ServiceId> {
-        let is_cut = |service: &ServiceId| {
-            let mut endpoints = self.endpoints.values().map(|state| &state.entry);
-            self.is_cut_off(service, now)
-                || endpoints
-                    .any(|it| it.service == *service && self.path_health.is_link_cut(&it.id, now))
-        };
-        self.services.keys().filter(|service| is_cut(service)).cloned().collect()
-    }
-
-    /// Returns whether this node failed to connect to an endpoint lately, and to none since.
-    pub fn is_path_suspect(&self, now: MonotonicTime) -> bool {
-        self.path_health.is_suspect(now)
-    }
-
-    fn endpoint_count(&self, service: &ServiceId) -> usize {
-        self.endpoints.values().filter(|state| state.entry.service == *service).count()
+    ) -> impl Iterator<Item = (&NodeId, &PeerView)> {
+        self.peers.iter().filter(move |(_, view)| view.received + SNAPSHOT_LIFETIME > now)
     }
 
     /// Returns the region of a data centre, or `None` if it is not configured.
@@ -396,7 +302,7 @@
     }
 
     /// Returns whether an endpoint takes new requests of any node, apart from its load and health.
-    pub fn is_open(&self, state: &EndpointState) -> bool {
+    pub fn takes_requests(&self, state: &EndpointState) -> bool {
         let entry = &state.entry;
         entry.phase == EndpointPhase::Ready
             && !self.is_leaving(state)
@@ -406,7 +312,7 @@
     /// Returns whether this node may send new requests to an endpoint at `now`, apart from the
     /// endpoint's load, its health and its request rate.
     pub fn may_send(&self, state: &EndpointState, now: MonotonicTime) -> bool {
-        self.is_open(state) && self.rest_end(state, now).is_none()
+        self.takes_requests(state) && self.backoff_end(state, now).is_none()
     }
 
     /// Returns whether a data centre is known to be another one than that of this node.
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::BackoffReport;
 use super::CrashReport;
 use super::LeavingReport;
 use super::PartAnswerReport;
@@ -13,7 +14,6 @@
 use super::RateReport;
 use super::RelayStatus;
 use super::RelayedSnapshot;
-use super::RestReport;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -110,7 +110,7 @@
     /// Endpoints that want no requests from nodes which relayed for this one; sent in a section of its
     /// own.
     #[serde(skip)]
-    pub rests: Vec<RestReport>,
+    pub backoffs: Vec<BackoffReport>,
     /// Endpoints whose answers say that they leave; sent in a section of its own.
     #[serde(skip)]
     pub leaving: Vec<LeavingReport>,
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -172,7 +172,7 @@
             return PlacementDecision::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
         }
     }
-    if let Some(decision) = fleet.decide_by_rest(&eligible, query, now) {
+    if let Some(decision) = fleet.decide_by_backoff(&eligible, query, now) {
         return decision;
     }
     if let Some(decision) = decide_by_rates(fleet, &eligible, query, position.ahead, now) {
@@ -210,7 +210,7 @@
     });
     is_allowed_region
         && entry.service == query.service
-        && fleet.is_open(state)
+        && fleet.takes_requests(state)
         && !query.excluded.contains(&entry.id)
 }
 
--- a/crates/apricotknot-core/tests/endpoint_rest.rs
+++ b/crates/apricotknot-core/tests/requested_backoff.rs
@@ -1,8 +1,9 @@
-//! Tests of rests that endpoints ask for, and of endpoints that say that they leave.
+//! Tests of backoffs that endpoints ask for, and of endpoints that say that they leave.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::FleetState;
@@ -10,7 +11,6 @@
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::RequestSize;
-use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::fleet::place;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -56,8 +56,8 @@
 }
 
 fn ask(fleet: &mut FleetState, number: usize, millis: u64, now: MonotonicTime) {
-    let rest = RestStatement::For(Duration::from_millis(millis));
-    fleet.record_rest(&endpoint(number), rest, None, now);
+    let backoff = BackoffStatement::For(Duration::from_millis(millis));
+    fleet.record_backoff_request(&endpoint(number), backoff, None, now);
 }
 
 fn chosen(fleet: &FleetState, now: MonotonicTime) -> Option<EndpointId> {
@@ -73,18 +73,18 @@
 }
 
 #[test]
-fn later_end_of_overlapping_rests_counts() {
+fn later_end_of_overlapping_backoffs_counts() {
     let mut fleet = fleet("own", 1);
     ask(&mut fleet, 0, 3_000, NOW);
     ask(&mut fleet, 0, 500, NOW + Duration::from_secs(1));
     assert!(!may_send(&fleet, NOW + Duration::from_millis(2_999)));
     assert!(may_send(&fleet, NOW + Duration::from_millis(3_000)));
     ask(&mut fleet, 0, 0, NOW + Duration::from_secs(4));
-    assert!(may_send(&fleet, NOW + Duration::from_secs(4)), "a rest of zero is none");
+    assert!(may_send(&fleet, NOW + Duration::from_secs(4)), "a backoff of zero is none");
 }
 
 #[test]
-fn rest_ends_with_the_lifetime_of_the_endpoint_and_outlives_its_record() {
+fn backoff_ends_with_the_lifetime_of_the_endpoint_and_outlives_its_record() {
     let mut fleet = fleet("own", 1);
     ask(&mut fleet, 0, 3_000, NOW);
     fleet.remove_endpoint("desk-0");
@@ -95,19 +95,20 @@
 }
 
 #[test]
-fn rest_that_cannot_be_read_or_is_huge_has_an_end() {
+fn backoff_that_cannot_be_read_or_is_huge_has_an_end() {
     let mut fleet = fleet("own", 1);
-    let unreadable = fleet.record_rest(&endpoint(0), RestStatement::Unreadable, None, NOW);
+    let unreadable =
+        fleet.record_backoff_request(&endpoint(0), BackoffStatement::Unreadable, None, NOW);
     assert!(unreadable.is_some_and(|change| change.is_unreadable));
     assert!(!may_send(&fleet, NOW + Duration::from_millis(900)));
     assert!(may_send(&fleet, NOW + Duration::from_secs(2)));
-    fleet.record_rest(&endpoint(0), RestStatement::For(Duration::MAX), None, NOW);
+    fleet.record_backoff_request(&endpoint(0), BackoffStatement::For(Duration::MAX), None, NOW);
     assert!(!may_send(&fleet, NOW + Duration::from_secs(3_599)));
     assert!(may_send(&fleet, NOW + Duration::from_secs(3_601)));
 }
 
 #[test]
-fn resting_endpoint_is_left_alone_while_another_one_serves() {
+fn endpoint_is_left_alone_during_its_backoff_while_another_one_serves() {
     let mut fleet = fleet("own", 2);
     ask(&mut fleet, 0, 3_000, NOW);
     for step in 0..29 {
@@ -117,7 +118,7 @@
 }
 
 #[test]
-fn callers_of_resting_endpoints_are_refused_at_once_and_come_back_over_a_span() {
+fn callers_are_refused_during_all_backoffs_at_once_and_come_back_over_a_span() {
     let mut fleet = fleet("own", 2);
     ask(&mut fleet, 0, 4_000, NOW);
     ask(&mut fleet, 1, 2_000, NOW);
@@ -136,20 +137,20 @@
     );
     let soon = NOW + Duration::from_millis(1_900);
     let waits = place(&fleet, &query(soon), QueuePosition::default(), soon);
-    assert_eq!(waits, PlacementDecision::Wait, "the rest ends in time");
+    assert_eq!(waits, PlacementDecision::Wait, "the backoff ends in time");
 }
 
 #[test]
-fn rest_that_is_asked_of_a_relaying_node_reaches_that_node() {
+fn backoff_that_is_asked_of_a_relaying_node_reaches_that_node() {
     let (mut own, mut relay, mut third) = (fleet("own", 1), fleet("relay", 1), fleet("third", 1));
-    let rest = RestStatement::For(Duration::from_secs(3));
-    own.record_rest(&endpoint(0), rest, Some("relay".into()), NOW);
-    let reports = own.rest_reports(NOW);
-    relay.apply_rest_reports(reports.clone(), NOW);
-    third.apply_rest_reports(reports, NOW);
+    let backoff = BackoffStatement::For(Duration::from_secs(3));
+    own.record_backoff_request(&endpoint(0), backoff, Some("relay".into()), NOW);
+    let reports = own.backoff_reports(NOW);
+    relay.apply_backoff_reports(reports.clone(), NOW);
+    third.apply_backoff_reports(reports, NOW);
     assert!(!may_send(&own, NOW) && !may_send(&relay, NOW));
     assert!(may_send(&third, NOW), "the endpoint did not ask the third node");
-    assert_eq!(own.rest_reports(NOW + Duration::from_secs(3)).len(), 0);
+    assert_eq!(own.backoff_reports(NOW + Duration::from_secs(3)).len(), 0);
 }
 
 #[test]
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::fleet::PartCrashReport;
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestFingerprint;
-use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -125,12 +125,12 @@
         /// Endpoint that leaves.
         endpoint: EndpointId,
     },
-    /// An endpoint has refused a request and asks for rest.
-    RestAsked {
+    /// An endpoint has refused a request and asks for a backoff.
+    BackoffRequested {
         /// Endpoint that refused.
         endpoint: EndpointId,
         /// What it asks for.
-        statement: RestStatement,
+        statement: BackoffStatement,
         /// Node that relayed the request, if one did.
         relayed_by: Option<NodeId>,
     },
--- a/crates/apricotknot-gateway/src/control/endpoint_path.rs
+++ b/crates/apricotknot-gateway/src/control/endpoint_path.rs
@@ -13,7 +13,7 @@
     pub address: SocketAddr,
 }
 
-/// The way from this node to the endpoints of one attempt.
+/// The way from this node to one endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EndpointPath {
     /// Connections of this node.
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -240,7 +240,7 @@
             self.publish_notices();
             self.log_rate_changes();
             self.publish_path_health();
-            self.log_wishes();
+            self.log_endpoint_notices();
             self.log_hold_notices();
             self.keep_lost_configuration();
             self.peers.send_due(&mut self.state, self.clock.now());
@@ -313,22 +313,22 @@
         }
     }
 
-    /// Logs the endpoints that leave or ask for rest.
-    fn log_wishes(&mut self) {
+    /// Logs the endpoints that leave or ask for a backoff.
+    fn log_endpoint_notices(&mut self) {
         for endpoint in self.state.take_leaving_notices() {
             info!(
                 self.logger, "control: endpoint says that it leaves; sending it nothing new";
                 "endpoint" => &*endpoint
             );
         }
-        for change in self.state.take_rest_changes() {
+        for change in self.state.take_backoff_changes() {
             let event = match change.is_unreadable {
-                true => "endpoint asks for an unreadable rest; using a default",
-                false => "endpoint asks for rest",
+                true => "endpoint asks for an unreadable backoff; using a default",
+                false => "endpoint asks for a backoff",
             };
             warn!(
                 self.logger, "control: {}", event;
-                "endpoint" => &*change.endpoint, "rest_ms" => millis(change.rest),
+                "endpoint" => &*change.endpoint, "backoff_ms" => millis(change.length),
                 "relayed_by" => change.relayed_by.as_deref()
             );
         }
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -10,13 +10,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::fleet::BackoffChange;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::LoadSnapshot;
 use apricotknot_core::fleet::PathChange;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateChange;
-use apricotknot_core::fleet::RestChange;
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::routing::DesiredState;
@@ -83,8 +83,8 @@
     rate_changes: Vec<RateChange>,
     /// Endpoints that are newly known to leave and were not taken yet.
     leaving_notices: Vec<EndpointId>,
-    /// Rests that began or grew longer and were not taken yet.
-    rest_changes: Vec<RestChange>,
+    /// Requested backoffs that began or grew longer and were not taken yet.
+    backoff_changes: Vec<BackoffChange>,
     /// Endpoints that may have crashed, or that this node only cannot reach itself.
     crash_suspects: Vec<EndpointId>,
     /// Nodes that did not relay when they were asked, with the time until which none asks them.
@@ -132,7 +132,7 @@
             placement_count: 0,
             rate_changes: Vec::new(),
             leaving_notices: Vec::new(),
-            rest_changes: Vec::new(),
+            backoff_changes: Vec::new(),
             crash_suspects: Vec::new(),
             failed_relays: BTreeMap::new(),
             open_relays: 0,
@@ -171,9 +171,10 @@
                     self.leaving_notices.push(endpoint);
                 }
             },
-            ControlCommand::RestAsked { endpoint, statement, relayed_by } => {
-                let change = self.fleet.record_rest(&endpoint, statement, relayed_by, now);
-                self.rest_changes.extend(change);
+            ControlCommand::BackoffRequested { endpoint, statement, relayed_by } => {
+                let change =
+                    self.fleet.record_backoff_request(&endpoint, statement, relayed_by, now);
+                self.backoff_changes.extend(change);
             },
             ControlCommand::Confirm { attempt, reply } => {
                 // A closed channel means that the call has ended.
@@ -218,7 +219,7 @@
         self.rate_changes.extend(self.fleet.apply_rate_reports(rates, now));
         let leaving = std::mem::take(&mut snapshot.leaving);
         self.leaving_notices.extend(self.fleet.apply_leaving_reports(leaving, now));
-        self.fleet.apply_rest_reports(std::mem::take(&mut snapshot.rests), now);
+        self.fleet.apply_backoff_reports(std::mem::take(&mut snapshot.backoffs), now);
         self.fleet.apply_snapshot(snapshot, now);
     }
 
@@ -263,9 +264,9 @@
         std::mem::take(&mut self.leaving_notices)
     }
 
-    /// Takes the rests that began or grew longer since the last call.
-    pub fn take_rest_changes(&mut self) -> Vec<RestChange> {
-        std::mem::take(&mut self.rest_changes)
+    /// Takes the requested backoffs that began or grew longer since the last call.
+    pub fn take_backoff_changes(&mut self) -> Vec<BackoffChange> {
+        std::mem::take(&mut self.backoff_changes)
     }
 
     /// Returns the load snapshot to send to other nodes, under the next sequence number.
@@ -282,7 +283,7 @@
             part_answers: Vec::new(),
             rates: self.fleet.rate_reports(self.sequence, now),
             relay: Some(self.relay_status(now)),
-            rests: self.fleet.rest_reports(now),
+            backoffs: self.fleet.backoff_reports(now),
             leaving: self.fleet.leaving_reports(now),
             relayed: Vec::new(),
         };
--- a/crates/apricotknot-gateway/src/control/state/paths.rs
+++ b/crates/apricotknot-gateway/src/control/state/paths.rs
@@ -54,7 +54,7 @@
         if !self.fleet.is_cut_off(&service, now) {
             return;
         }
-        if self.fleet.relays(&service, now).next().is_some() {
+        if self.fleet.relay_peers(&service, now).next().is_some() {
             self.fleet.forget_unreached();
             self.crash_suspects.clear();
         } else {
@@ -110,8 +110,8 @@
     }
 
     /// Returns whether this node cannot connect to the endpoints of `service`, and others can.
-    pub(super) fn is_relayed(&self, service: &ServiceId, now: MonotonicTime) -> bool {
-        self.fleet.is_cut_off(service, now) && self.fleet.relays(service, now).next().is_some()
+    pub(super) fn needs_peers(&self, service: &ServiceId, now: MonotonicTime) -> bool {
+        self.fleet.is_cut_off(service, now) && self.fleet.relay_peers(service, now).next().is_some()
     }
 
     /// Returns what other nodes are told of this node's part in relaying.
@@ -141,7 +141,7 @@
     ///
     /// The body of the request passes through them, so they are in the regions that may run it.
     fn choose_peers(&self, query: &PlacementQuery, now: MonotonicTime) -> Vec<RelayPeer> {
-        let relays = self.fleet.relays(&query.service, now);
+        let relays = self.fleet.relay_peers(&query.service, now);
         let candidates = relays.filter_map(|(node, load)| {
             let record = self.registry.announced(node)?;
             let is_failed = self.failed_relays.get(node).is_some_and(|until| *until > now);
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -56,7 +56,7 @@
             return;
         }
         let mut waiting = WaitingRequest { request, reply };
-        if !self.is_relayed(&waiting.request.query.service, now) {
+        if !self.needs_peers(&waiting.request.query.service, now) {
             let unreached = std::mem::take(&mut waiting.request.unreached);
             waiting.request.query.excluded.extend(unreached);
         }
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -5,7 +5,7 @@
 
 use actix_http::ResponseHead;
 use apricotknot_core::fleet::AttemptEnd;
-use apricotknot_core::fleet::RestStatement;
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
@@ -35,8 +35,8 @@
     pub(super) progress_at: MonotonicTime,
     /// Whether the endpoint was known to limit its request rate when the attempt was granted.
     pub(super) is_rate_limited: bool,
-    /// Rest that the endpoint asks for in its answer.
-    pub(super) rest: RestStatement,
+    /// Backoff that the endpoint asks for in its answer.
+    pub(super) backoff: BackoffStatement,
     /// Time until the answer was expected to begin.
     pub(super) expected_start: Duration,
     /// Whether the first event of the answer has arrived.
@@ -64,11 +64,11 @@
 
     /// Returns how the attempt ends if the endpoint answers with an error.
     ///
-    /// Asking for rest is no fault of the endpoint.
+    /// Asking for a backoff is no fault of the endpoint.
     pub(super) fn failed_end(&self) -> AttemptEnd {
-        match self.rest {
-            RestStatement::None => AttemptEnd::Failed,
-            RestStatement::For(_) | RestStatement::Unreadable => AttemptEnd::Refused,
+        match self.backoff {
+            BackoffStatement::None => AttemptEnd::Failed,
+            BackoffStatement::For(_) | BackoffStatement::Unreadable => AttemptEnd::Refused,
         }
     }
 
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -5,7 +5,7 @@
 
 use actix_http::RequestHead;
 use apricotknot_core::fleet::AttemptEnd;
-use apricotknot_core::fleet::RestStatement;
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 
@@ -16,11 +16,13 @@
 use super::call_driver::CallDriver;
 use super::endpoint_access::connect_to;
 use super::endpoint_access::probe;
+use super::reservation::ReservationGuard;
 use super::reservation::reserve;
 use crate::control::AttemptGuard;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
 use crate::endpoint::CONNECT_TIMEOUT;
+use crate::endpoint::EndpointConnection;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
 use crate::protocol::AttemptMetadata;
@@ -50,45 +52,15 @@
     /// Reserves memory at the helpers and connects to the endpoint.
     pub(super) async fn open_attempt(
         &mut self,
-        grant: EndpointGrant,
+        mut grant: EndpointGrant,
     ) -> Result<OpenAttempt, CallInterrupt> {
-        let mut guard = grant.guard;
         let granted_at = self.now();
-        let reserving = reserve(self.context, guard.attempt(), &grant.helpers);
-        let (helpers, reservations) = match self.unless_interrupted(reserving, None).await {
-            Err(WaitInterrupt::CallerDisconnected) => {
-                return Err(CallInterrupt::CallerDisconnected);
-            },
-            Err(_) => return Err(CallInterrupt::Deadline),
-            Ok(Ok(reserved)) => reserved,
-            Ok(Err(refused)) => {
-                for endpoint in refused {
-                    self.context.control.send(ControlCommand::MemoryRefused { endpoint });
-                }
-                // The endpoint itself was not asked.
-                guard.set_end(AttemptEnd::Abandoned);
-                let cause = "no memory at a helper";
-                self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
-                return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
-            },
-        };
-        if grant.probes {
-            probe(self.context, &grant.endpoint, grant.address);
-        }
-        let connecting =
-            connect_to(self.context, &grant.endpoint, grant.address, &grant.path, CONNECT_TIMEOUT);
-        let connection = match self.unless_interrupted(connecting, None).await {
-            Err(WaitInterrupt::CallerDisconnected) => {
-                return Err(CallInterrupt::CallerDisconnected);
-            },
-            Err(_) => return Err(CallInterrupt::Deadline),
-            Ok(Err(error)) => return Err(self.end_unconnected(guard, grant.endpoint, &error)),
-            Ok(Ok(connection)) => connection,
-        };
+        let (helpers, reservations) = self.reserve_memory(&mut grant).await?;
+        let connection = self.connect(&mut grant).await?;
         if let Some(peer) = connection.relayed_by() {
             self.log_relayed(&grant.endpoint, peer);
         }
-        if !self.is_still_permitted(&guard, granted_at).await {
+        if !self.is_still_permitted(&grant.guard, granted_at).await {
             let cause = "the grant is no longer valid";
             self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
             return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
@@ -98,12 +70,12 @@
             EndpointExchange::start(&self.context.http, connection, head, &self.call.body);
         let exchange = match started {
             Ok(exchange) => exchange,
-            Err(error) => return Err(self.end_unconnected(guard, grant.endpoint, &error)),
+            Err(error) => return Err(self.end_unconnected(&mut grant, &error)),
         };
         self.sends += 1;
         self.endpoint = Some(Arc::clone(&grant.endpoint));
         Ok(OpenAttempt {
-            guard,
+            guard: grant.guard,
             endpoint: grant.endpoint,
             exchange,
             silence_limit: self.silence_limit(grant.expected_start),
@@ -111,7 +83,7 @@
             unused_until: reservations.is_holding().then(|| granted_at + self.unused_limit()),
             _reservations: reservations,
             is_rate_limited: grant.is_rate_limited,
-            rest: RestStatement::None,
+            backoff: BackoffStatement::None,
             expected_start: grant.expected_start,
             has_begun: false,
             sent_at: self.now(),
@@ -119,6 +91,47 @@
         })
     }
 
+    /// Reserves memory at the helpers of a grant.
+    async fn reserve_memory(
+        &mut self,
+        grant: &mut EndpointGrant,
+    ) -> Result<(Vec<HelperAddress>, ReservationGuard), CallInterrupt> {
+        let reserving = reserve(self.context, grant.guard.attempt(), &grant.helpers);
+        match self.unless_interrupted(reserving, None).await {
+            Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
+            Err(_) => Err(CallInterrupt::Deadline),
+            Ok(Ok(reserved)) => Ok(reserved),
+            Ok(Err(refused)) => {
+                for endpoint in refused {
+                    self.context.control.send(ControlCommand::MemoryRefused { endpoint });
+                }
+                // The endpoint itself was not asked.
+                grant.guard.set_end(AttemptEnd::Abandoned);
+                let cause = "no memory at a helper";
+                self.record_failed_attempt(&grant.endpoint, AttemptEnd::Abandoned, cause);
+                Err(CallInterrupt::Attempt(AttemptFault::NotRun))
+            },
+        }
+    }
+
+    /// Connects to the endpoint of a grant, by the way that the grant names.
+    async fn connect(
+        &mut self,
+        grant: &mut EndpointGrant,
+    ) -> Result<EndpointConnection, CallInterrupt> {
+        if grant.probes {
+            probe(self.context, &grant.endpoint, grant.address);
+        }
+        let connecting =
+            connect_to(self.context, &grant.endpoint, grant.address, &grant.path, CONNECT_TIMEOUT);
+        match self.unless_interrupted(connecting, None).await {
+            Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
+            Err(_) => Err(CallInterrupt::Deadline),
+            Ok(Err(error)) => Err(self.end_unconnected(grant, &error)),
+            Ok(Ok(connection)) => Ok(connection),
+        }
+    }
+
     /// Returns the time from a grant until an endpoint has to begin to use reserved memory.
     fn unused_limit(&self) -> Duration {
         self.context.reserved_idle_time.mul_f64(1.0 - IDLE_RESERVE_FRACTION)
@@ -139,13 +152,16 @@
         head
     }
 
-    /// Ends an attempt for which there is no connection to the endpoint.
+    /// Ends an attempt for which there is no connection to the endpoint; nothing was sent.
+    ///
+    /// A connection of this node that fails says nothing certain of the endpoint, as the node may be
+    /// cut off. A peer's refusal is about the endpoint or about the peer.
     fn end_unconnected(
         &mut self,
-        mut guard: AttemptGuard,
-        endpoint: EndpointId,
+        grant: &mut EndpointGrant,
         error: &ExchangeError,
     ) -> CallInterrupt {
+        let endpoint = Arc::clone(&grant.endpoint);
         let refusal = match error {
             ExchangeError::Relay(error) => error.refusal(),
             _ => None,
@@ -157,8 +173,7 @@
             (_, Some(RelayRefusal::Unreached)) => AttemptEnd::Gone,
             _ => AttemptEnd::Abandoned,
         };
-        guard.set_end(end);
-        drop(guard);
+        grant.guard.set_end(end);
         self.record_failed_attempt(&endpoint, end, &error.to_string());
         let is_about_endpoint = refusal.is_some_and(RelayRefusal::is_about_endpoint);
         match error {
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -24,7 +24,7 @@
 use super::attempt::CallInterrupt;
 use super::attempt::OpenAttempt;
 use super::attempt::WaitInterrupt;
-use super::endpoint_access::report_wishes;
+use super::endpoint_access::report_notices;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::remove_hop_by_hop_headers;
@@ -157,9 +157,9 @@
         let answered_id = metadata.request_id.as_deref();
         let is_own = answered_id.is_none_or(|id| id == &*self.call.metadata.request_id);
         if is_own && !metadata.is_misdirected {
-            open.rest = metadata.rest;
+            open.backoff = metadata.backoff;
             let relayed_by = open.exchange.relayed_by();
-            report_wishes(self.context, &open.endpoint, relayed_by, &metadata);
+            report_notices(self.context, &open.endpoint, relayed_by, &metadata);
         }
         // The refusal of another request says nothing about this one, which may be running.
         if is_own && (metadata.is_misdirected || metadata.is_not_run) {
--- a/crates/apricotknot-gateway/src/driver/endpoint_access.rs
+++ b/crates/apricotknot-gateway/src/driver/endpoint_access.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use apricotknot_core::fleet::RestStatement;
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::NodeId;
 use slog::warn;
@@ -68,8 +68,8 @@
     });
 }
 
-/// Reports to the control thread what the answer of an endpoint says of the requests that it wants.
-pub(super) fn report_wishes<P>(
+/// Reports to the control thread if an answer says that its endpoint leaves or asks for a backoff.
+pub(super) fn report_notices<P>(
     context: &TrafficContext<P>,
     endpoint: &EndpointId,
     relayed_by: Option<&NodeId>,
@@ -78,10 +78,10 @@
     if metadata.is_leaving {
         context.control.send(ControlCommand::LeavingStated { endpoint: Arc::clone(endpoint) });
     }
-    if metadata.rest != RestStatement::None {
-        context.control.send(ControlCommand::RestAsked {
+    if metadata.backoff != BackoffStatement::None {
+        context.control.send(ControlCommand::BackoffRequested {
             endpoint: Arc::clone(endpoint),
-            statement: metadata.rest,
+            statement: metadata.backoff,
             relayed_by: relayed_by.cloned(),
         });
     }
--- a/crates/apricotknot-gateway/src/driver/reservation.rs
+++ b/crates/apricotknot-gateway/src/driver/reservation.rs
@@ -14,7 +14,7 @@
 
 use super::TrafficContext;
 use super::endpoint_access::connect_to;
-use super::endpoint_access::report_wishes;
+use super::endpoint_access::report_notices;
 use crate::control::EndpointPath;
 use crate::control::HelperGrant;
 use crate::endpoint::EndpointExchange;
@@ -188,7 +188,7 @@
             let head = exchange.read_head().await?;
             let metadata = self.context.protocol.read_answer(&head);
             if !metadata.is_misdirected {
-                report_wishes(&self.context, endpoint, exchange.relayed_by(), &metadata);
+                report_notices(&self.context, endpoint, exchange.relayed_by(), &metadata);
             }
             Ok(head.status)
         };
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -20,8 +20,8 @@
 /// Number of the section with the node's part in relaying connections.
 const RELAY_SECTION: u8 = 3;
 
-/// Number of the section with rests that endpoints ask of relaying nodes.
-const RESTS_SECTION: u8 = 4;
+/// Number of the section with backoffs that endpoints ask of relaying nodes.
+const BACKOFFS_SECTION: u8 = 4;
 
 /// Number of the section with endpoints that leave.
 const LEAVING_SECTION: u8 = 5;
@@ -42,8 +42,8 @@
     if let Some(relay) = &snapshot.relay {
         push_section(&mut bytes, RELAY_SECTION, relay)?;
     }
-    if !snapshot.rests.is_empty() {
-        push_section(&mut bytes, RESTS_SECTION, &snapshot.rests)?;
+    if !snapshot.backoffs.is_empty() {
+        push_section(&mut bytes, BACKOFFS_SECTION, &snapshot.backoffs)?;
     }
     if !snapshot.leaving.is_empty() {
         push_section(&mut bytes, LEAVING_SECTION, &snapshot.leaving)?;
@@ -67,7 +67,7 @@
         match number {
             RATES_SECTION => snapshot.rates = parse_value(value)?,
             RELAY_SECTION => snapshot.relay = Some(parse_value(value)?),
-            RESTS_SECTION => snapshot.rests = parse_value(value)?,
+            BACKOFFS_SECTION => snapshot.backoffs = parse_value(value)?,
             LEAVING_SECTION => snapshot.leaving = parse_value(value)?,
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
--- a/crates/apricotknot-gateway/src/protocol/call_protocol.rs
+++ b/crates/apricotknot-gateway/src/protocol/call_protocol.rs
@@ -6,10 +6,10 @@
 
 use actix_http::RequestHead;
 use actix_http::ResponseHead;
+use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestSize;
-use apricotknot_core::fleet::RestStatement;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::TokenCount;
@@ -110,8 +110,8 @@
     pub rate_statement: RateStatement,
     /// Whether the endpoint says that it leaves.
     pub is_leaving: bool,
-    /// Rest that the endpoint asks for as it refuses the request.
-    pub rest: RestStatement,
+    /// Backoff that the endpoint asks for as it refuses the request.
+    pub backoff: BackoffStatement,
 }
 
 /// Translates between the headers of a platform and the types of the gateway.
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use apricotknot_core::fleet::BackoffReport;
 use apricotknot_core::fleet::CrashReport;
 use apricotknot_core::fleet::LeavingReport;
 use apricotknot_core::fleet::LoadSnapshot;
@@ -11,7 +12,6 @@
 use apricotknot_core::fleet::RateReport;
 use apricotknot_core::fleet::RelayStatus;
 use apricotknot_core::fleet::RelayedSnapshot;
-use apricotknot_core::fleet::RestReport;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::fleet::WorkSnapshot;
@@ -53,7 +53,7 @@
             age_ms: 50,
         }],
         relay: Some(RelayStatus { open: 3, cut_services: vec!["model".into()] }),
-        rests: vec![RestReport {
+        backoffs: vec![BackoffReport {
             node: "peer".into(),
             endpoint: "engine".into(),
             incarnation: 2,
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -80,7 +80,7 @@
     /// Value of the header `server-limit` in answers, if they have one.
     rate_limit: Option<String>,
     /// Value of the header `retry-after` of refusals: requests are refused while it is set.
-    rest: Option<String>,
+    retry_after: Option<String>,
     /// Whether answers say that the endpoint leaves.
     is_leaving: bool,
     /// Time of arrival of each request, also of those that are refused.
@@ -135,7 +135,7 @@
             id: id.to_owned(),
             fault: EndpointFault::None,
             rate_limit: None,
-            rest: None,
+            retry_after: None,
             is_leaving: false,
             arrivals: Vec::new(),
             event_interval: Duration::from_millis(5),
@@ -160,9 +160,9 @@
         self.lock().rate_limit = limit.map(str::to_owned);
     }
 
-    /// Makes the endpoint refuse requests and ask for this rest, in seconds, or run them again.
-    pub fn set_rest(&self, rest: Option<&str>) {
-        self.lock().rest = rest.map(str::to_owned);
+    /// Makes the endpoint refuse requests and name this `retry-after`, in seconds, or run them again.
+    pub fn set_retry_after(&self, seconds: Option<&str>) {
+        self.lock().retry_after = seconds.map(str::to_owned);
     }
 
     /// Sets whether further answers say that the endpoint leaves.
@@ -248,17 +248,17 @@
     }
 
     fn handle_request(&self, call: &HttpCall) -> HttpReply {
-        let (fault, interval, limit, rest) = {
+        let (fault, interval, limit, retry_after) = {
             let mut state = self.lock();
             if call.header("expect-instance") != Some(&state.id) {
                 return HttpReply::json(421, &json!({})).header("instance-id", &state.id);
             }
             state.arrivals.push(Instant::now());
-            (state.fault, state.event_interval, state.rate_limit.clone(), state.rest.clone())
+            (state.fault, state.event_interval, state.rate_limit.clone(), state.retry_after.clone())
         };
-        if let Some(rest) = rest {
+        if let Some(seconds) = retry_after {
             let refusal = HttpReply::json(503, &json!({})).header("not-executed", "1");
-            return refusal.header("retry-after", &rest);
+            return refusal.header("retry-after", &seconds);
         }
         if fault == EndpointFault::Full {
             let reply = HttpReply::json(503, &json!({})).header("not-executed", "1");
--- a/crates/apricotknot/tests/resting_endpoints.rs
+++ b/crates/apricotknot/tests/endpoint_notices.rs
@@ -1,4 +1,4 @@
-//! Gateway nodes as processes, in front of endpoints that ask for rest or say that they leave.
+//! Gateway nodes as processes, in front of endpoints that ask for a backoff or say that they leave.
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
@@ -20,13 +20,13 @@
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
 
-/// Time after the first refusal from which a rest is kept.
+/// Time after the first refusal from which a backoff is kept.
 const LEARNING_TIME: Duration = Duration::from_millis(500);
 
 /// Time after an endpoint says that it leaves from which it gets nothing.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
-/// Requests that a node may send to an endpoint that rests.
+/// Requests that a node may send to an endpoint during its backoff.
 const ALLOWED: usize = 2;
 
 /// Sends requests of all kinds to all nodes for `length`, two at a time to each; returns the answers.
@@ -63,30 +63,30 @@
 }
 
 #[test]
-fn endpoint_that_asks_for_rest_gets_no_more_than_two_requests_from_each_node() {
-    let fleet = Fleet::start("rest", 2);
+fn endpoint_that_asks_for_a_backoff_gets_no_more_than_two_requests_from_each_node() {
+    let fleet = Fleet::start("backoff", 2);
     for endpoint in [&fleet.engines[0], &fleet.plain_endpoints[0]] {
-        endpoint.set_rest(Some("3"));
+        endpoint.set_retry_after(Some("3"));
     }
     let began = Instant::now();
-    let answers = send_load(&fleet, "rest", Duration::from_millis(2_800));
+    let answers = send_load(&fleet, "backoff", Duration::from_millis(2_800));
     for endpoint in [&fleet.engines[0], &fleet.plain_endpoints[0]] {
         let refused = endpoint.arrivals();
         assert!(!refused.is_empty(), "the endpoint was asked");
         let late = arrivals_between(endpoint, began + LEARNING_TIME * 2, began + 5 * DRAIN_TIME);
         let allowed = ALLOWED * fleet.nodes.len();
-        assert!(late <= allowed, "{late} requests during the rest, {allowed} allowed");
+        assert!(late <= allowed, "{late} requests during the backoff, {allowed} allowed");
     }
     let failed: Vec<&Answer> = answers.iter().filter(|answer| answer.status != 200).collect();
     assert!(failed.is_empty(), "the other endpoints serve: {failed:?}");
-    for (rested, other) in [(&fleet.engines[0], &fleet.engines[1]), desks(&fleet)] {
-        rested.set_rest(None);
-        other.set_rest(Some("3"));
+    for (first, other) in [(&fleet.engines[0], &fleet.engines[1]), desks(&fleet)] {
+        first.set_retry_after(None);
+        other.set_retry_after(Some("3"));
     }
-    for (rested, _) in [(&fleet.engines[0], &fleet.engines[1]), desks(&fleet)] {
-        wait_until("the endpoint is used again after its rest", || {
+    for (first, _) in [(&fleet.engines[0], &fleet.engines[1]), desks(&fleet)] {
+        wait_until("the endpoint is used again after its backoff", || {
             send_load(&fleet, "after", Duration::from_millis(100));
-            !rested.executions().is_empty()
+            !first.executions().is_empty()
         });
     }
 }
@@ -96,10 +96,10 @@
 }
 
 #[test]
-fn callers_hear_at_once_when_all_endpoints_rest() {
-    let fleet = Fleet::start("all-rest", 1);
+fn callers_hear_at_once_when_all_endpoints_ask_for_a_backoff() {
+    let fleet = Fleet::start("all-backoff", 1);
     for endpoint in fleet.engines.iter().chain(&fleet.plain_endpoints) {
-        endpoint.set_rest(Some("2.5"));
+        endpoint.set_retry_after(Some("2.5"));
     }
     let node = &fleet.nodes[0];
     for id in ["first", "second"] {
--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -70,8 +70,8 @@
 /// Rate of requests, in requests per second, that a limited endpoint names.
 const NAMED_RATE_LIMIT: &str = "2.5";
 
-/// Rest, in seconds, that an endpoint asks for.
-const NAMED_REST: &str = "0.7";
+/// Backoff, in seconds, that an endpoint asks for.
+const NAMED_RETRY_AFTER: &str = "0.7";
 
 /// Index of the store among the proxies.
 const STORE: usize = 4;
@@ -103,8 +103,8 @@
     EndpointDraining(usize),
     /// The endpoint names [`NAMED_RATE_LIMIT`] in its answers.
     RateLimited(usize),
-    /// The endpoint refuses requests and asks for [`NAMED_REST`].
-    Resting(usize),
+    /// The endpoint refuses requests and asks for [`NAMED_RETRY_AFTER`].
+    BackoffRequested(usize),
     /// The endpoint says in its answers that it leaves; it starts again at the end.
     Leaving(usize),
     /// The last node loses its links to all endpoints, which treat new connections as given.
@@ -235,7 +235,7 @@
             14 => SoakFault::StoreDown,
             15 | 16 => SoakFault::StoreRestored(self.copies.len()),
             17 | 18 => SoakFault::RateLimited(endpoint),
-            20 => SoakFault::Resting(endpoint),
+            20 => SoakFault::BackoffRequested(endpoint),
             21 => SoakFault::Leaving(endpoint),
             22 | 23 => SoakFault::NodeCut(Admission::Refused),
             24 | 25 => SoakFault::NodeCut(Admission::Unanswered),
@@ -268,7 +268,9 @@
                 self.ways_to(proxy).for_each(|way| set_blocked(way, true));
             },
             SoakFault::LinkReset(proxy) => self.ways_to(proxy).for_each(FaultProxy::reset_all),
-            SoakFault::Resting(endpoint) => self.endpoint(endpoint).set_rest(Some(NAMED_REST)),
+            SoakFault::BackoffRequested(endpoint) => {
+                self.endpoint(endpoint).set_retry_after(Some(NAMED_RETRY_AFTER))
+            },
             SoakFault::Leaving(endpoint) => self.endpoint(endpoint).set_leaving(true),
             SoakFault::NodeCut(admission) => {
                 for link in &self.links[..STORE] {
@@ -326,7 +328,7 @@
             SoakFault::LinkBlocked(proxy, _) | SoakFault::LinkBlockedBothWays(proxy) => {
                 self.ways_to(proxy).for_each(|way| set_blocked(way, false));
             },
-            SoakFault::Resting(endpoint) => self.endpoint(endpoint).set_rest(None),
+            SoakFault::BackoffRequested(endpoint) => self.endpoint(endpoint).set_retry_after(None),
             SoakFault::Leaving(endpoint) => {
                 self.endpoint(endpoint).set_leaving(false);
                 self.fleet.begin_lifetime(&endpoint_id(endpoint));
