store client: no silent connection after another

Cause: a watch on a silent connection is noticed by its timeout, 2.5 s later; the next call took another kept connection out of the pool, which is silent as well. An open connection was taken for evidence that it works.

When a watch is 0.5 s overdue, the feed also asks on a new connection, and the first answer counts. After a failed call it asks for the changes so far before it waits again, so that the service counts as back when it is.

Weighed: a connection for each call (one more connection a call, at 810 nodes about 2,000 a second); probes of the kernel (they see a dead peer, not a silent service); a shorter bound (a slow service answers after 0.9 to 1.1 s, so each of its answers would be lost). This costs one call and one connection for each overdue watch, and nothing while the service answers.

Writes whose answer is lost stay unknown, as before: nothing is sent twice here.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::HashSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use apricotknot_core::types::RevisionNumber;
 use rand::RngExt;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use super::StoreUpdate;
 use super::registry;
@@ -35,6 +37,14 @@
 const WATCH_LIMITS: WatchLimits =
     WatchLimits { wait: WATCH_TIMEOUT, transfer: Duration::from_millis(700) };
 
+/// Limits of a call that asks for the changes so far: whether the service can be reached again, or
+/// whether only the connection of a watch has gone silent.
+const CHECK_LIMITS: WatchLimits =
+    WatchLimits { wait: Duration::from_millis(1), transfer: WATCH_LIMITS.transfer };
+
+/// Time after the wait of a watch from which its connection is suspected to have gone silent.
+const WATCH_OVERDUE: Duration = Duration::from_millis(500);
+
 /// Shortest interval between two calls, so that changes in quick succession are read together.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -102,6 +112,12 @@
     pub transfer: Duration,
 }
 
+/// Changes with the time at which they were asked for.
+struct TimedBatch {
+    batch: WatchBatch,
+    sent_at: MonotonicTime,
+}
+
 /// Reads the key-value service for one node, and sends what it reads to the control thread.
 pub struct StateFeed<S, T> {
     store: S,
@@ -184,9 +200,13 @@
     /// from a copy.
     async fn watch(&mut self, mut revision: RevisionNumber) {
         while !self.events.is_closed() {
-            let sent_at = self.clock.now();
-            match self.store.changes(ALL_KEYS_PREFIX, revision, WATCH_LIMITS).await {
-                Ok(batch) => {
+            let answer = match self.failures {
+                0 => self.watch_once(revision).await,
+                // A watch would wait before it shows that the service answers again.
+                _ => self.read_changes(revision, CHECK_LIMITS).await,
+            };
+            match answer {
+                Ok(TimedBatch { batch, sent_at }) => {
                     self.failures = 0;
                     if self.observe_era(batch.era).await {
                         // The revision identifies another state in this era.
@@ -216,6 +236,32 @@
         }
     }
 
+    /// Waits for changes after `revision`.
+    ///
+    /// An open connection is no evidence that it works. When the answer is overdue, the service is
+    /// asked on a new connection too, and the first answer counts.
+    async fn watch_once(&self, revision: RevisionNumber) -> Result<TimedBatch, StoreError> {
+        let mut watch = pin!(self.read_changes(revision, WATCH_LIMITS));
+        if let Ok(answer) = timeout(WATCH_TIMEOUT + WATCH_OVERDUE, &mut watch).await {
+            return answer;
+        }
+        self.store.abandon_connections();
+        tokio::select! {
+            answer = &mut watch => answer,
+            Ok(batch) = self.read_changes(revision, CHECK_LIMITS) => Ok(batch),
+        }
+    }
+
+    async fn read_changes(
+        &self,
+        revision: RevisionNumber,
+        limits: WatchLimits,
+    ) -> Result<TimedBatch, StoreError> {
+        let sent_at = self.clock.now();
+        let batch = self.store.changes(ALL_KEYS_PREFIX, revision, limits).await?;
+        Ok(TimedBatch { batch, sent_at })
+    }
+
     /// Records the era of an answer; returns whether the service has come back from a copy since
     /// the one before.
     async fn observe_era(&mut self, found: EraNumber) -> bool {
--- a/crates/apricotknot-gateway/src/store/metadata_store.rs
+++ b/crates/apricotknot-gateway/src/store/metadata_store.rs
@@ -69,4 +69,9 @@
         after: RevisionNumber,
         limits: WatchLimits,
     ) -> Result<WatchBatch, StoreError>;
+
+    /// Makes later calls open new connections: those that are open may have gone silent.
+    ///
+    /// Calls in progress go on. A store without connections has nothing to do.
+    fn abandon_connections(&self) {}
 }
--- a/crates/apricotknot-gateway/tests/state_feed.rs
+++ b/crates/apricotknot-gateway/tests/state_feed.rs
@@ -31,11 +31,18 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 /// Longest time from the write of a version until it is in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time after a silence of connections within which a node has to be in touch again.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Time beyond the wait of a watch after which the client of the store gives it up.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time in which the link carries one version of the configuration.
 const TRANSFER_TIME: Duration = Duration::from_millis(230);
 
@@ -55,6 +62,8 @@
         after: RevisionNumber,
         limits: WatchLimits,
     ) -> Result<WatchBatch, StoreError>;
+
+    fn abandon_connections(&self) {}
 }
 
 /// A store that is only read.
@@ -90,6 +99,10 @@
     ) -> Result<WatchBatch, StoreError> {
         self.0.changes(after, limits).await
     }
+
+    fn abandon_connections(&self) {
+        self.0.abandon_connections();
+    }
 }
 
 /// Starts a feed that reads from `store`; returns the receiver of its events.
@@ -279,3 +292,81 @@
         .expect("a runtime");
     assert!(LocalSet::new().block_on(&runtime, reports_restored_version()));
 }
+
+/// Store whose connections are silent, until the feed opens others.
+#[derive(Clone, Default)]
+struct SilentStore {
+    is_silent: Rc<Cell<bool>>,
+    written: Rc<Cell<u64>>,
+}
+
+impl StoreReads for SilentStore {
+    async fn range(&self) -> Result<KeyRange, StoreError> {
+        let revision = self.written.get();
+        let entries = (1..=revision).map(NarrowStore::entry).collect();
+        Ok(KeyRange { entries, revision, era: 1 })
+    }
+
+    async fn changes(
+        &self,
+        after: RevisionNumber,
+        limits: WatchLimits,
+    ) -> Result<WatchBatch, StoreError> {
+        let end = Instant::now() + limits.wait;
+        while !self.is_silent.get() && self.written.get() <= after && Instant::now() < end {
+            sleep(Duration::from_millis(5)).await;
+        }
+        if self.is_silent.get() {
+            sleep_until(end + CALL_TIMEOUT).await;
+            self.abandon_connections();
+            return Err(StoreError::TimedOut { limit: limits.wait + CALL_TIMEOUT });
+        }
+        let versions = after + 1..=self.written.get();
+        let events = versions.map(|version| WatchEvent::Put(NarrowStore::entry(version)));
+        let revision = self.written.get();
+        Ok(WatchBatch { revision, era: 1, events: events.collect(), ..WatchBatch::default() })
+    }
+
+    fn abandon_connections(&self) {
+        self.is_silent.set(false);
+    }
+}
+
+/// Returns the longest time from the silence of all connections until a version that is written
+/// right after it is in force.
+async fn silent_apply_time() -> Duration {
+    let mut longest = Duration::ZERO;
+    for step in 0..40 {
+        let store = SilentStore::default();
+        let mut received = start_feed(store.clone());
+        sleep(Duration::from_millis(3_000 + step * 50)).await;
+        store.is_silent.set(true);
+        let silent_at = Instant::now();
+        sleep(Duration::from_millis(10)).await;
+        store.written.set(1);
+        let end = silent_at + Duration::from_secs(20);
+        while let Ok(Some(event)) = timeout_at(end, received.recv()).await {
+            let (FeedEvent::Snapshot { update, .. } | FeedEvent::Changes { update, .. }) = event
+            else {
+                continue;
+            };
+            if newest_version(&update) == Some(1) {
+                break;
+            }
+        }
+        longest = longest.max(silent_at.elapsed());
+    }
+    longest
+}
+
+// Guards against a node that is in touch again while its watch still waits on a silent connection.
+#[test]
+fn watch_on_a_silent_connection_is_overtaken_in_time() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    let waited = LocalSet::new().block_on(&runtime, silent_apply_time());
+    assert!(waited <= SILENCE_LIMIT, "in force {waited:?} after the silence");
+}
