control: a broken call is no outage of the key-value service

Cause: any failed call counted as an outage, after which endpoints without a record are kept for 2.2 s, as live ones may have expired. The grace began with the first answer, which a watch may bring 1.5 s late.

Evidence: five tests of control_state fail on the code before, among them endpoint_that_leaves_around_a_broken_call_is_removed_at_once.

Change: StoreContact takes failed calls for an outage if two in a row fail, the second of which opened a connection, and nothing was answered for the shortest lease. MissingEndpoints keeps endpoints after such an outage, but not one that wrote its record while the service was watched and then lost it: that record could not expire yet. While the service is out again, kept endpoints stay kept; before, a second outage emptied a service.

Ruled out: a longer silence alone (a silent connection takes up to 2.5 s, records expire from 2.4 s on); an engine's own word that it leaves (such engines get nothing already). Answers that peers had meanwhile would tell a cut of one node from an outage; not done, as a node is not in touch until 3 s after a cut and the grace is 2.2 s.

--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod handle;
 mod loop_load;
+mod missing_endpoints;
 mod record_keeper;
 mod registry;
 mod relay_permit;
@@ -15,6 +16,7 @@
 mod runner;
 mod shared;
 mod state;
+mod store_contact;
 mod store_update;
 mod wait_queue;
 
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -33,8 +33,10 @@
 use super::NodeRegistry;
 use super::QuarantineNotice;
 use super::configuration_versions::ConfigurationVersions;
+use super::missing_endpoints::MissingEndpoints;
 use super::request_quarantine::RequestQuarantine;
 use super::restore_hold::RestoreHold;
+use super::store_contact::StoreContact;
 use super::wait_queue::WaitQueue;
 
 /// Interval between two passes over the waiting requests, for each of them.
@@ -98,11 +100,8 @@
     has_unsent_changes: bool,
     desired: Option<Arc<DesiredState>>,
     peer_secret: Option<Vec<u8>>,
-    store_unreachable_since: Option<MonotonicTime>,
-    store_reachable_since: Option<MonotonicTime>,
-    /// Endpoints without a record after an outage of the store, with the time until which they may
-    /// announce themselves again.
-    missing_until: BTreeMap<EndpointId, MonotonicTime>,
+    store_contact: StoreContact,
+    missing_endpoints: MissingEndpoints,
     restore_hold: RestoreHold,
     configuration_versions: ConfigurationVersions,
 }
@@ -140,9 +139,8 @@
             has_unsent_changes: false,
             desired: None,
             peer_secret: None,
-            store_unreachable_since: None,
-            store_reachable_since: None,
-            missing_until: BTreeMap::new(),
+            store_contact: StoreContact::default(),
+            missing_endpoints: MissingEndpoints::default(),
             restore_hold: RestoreHold::default(),
             configuration_versions: ConfigurationVersions::default(),
         }
@@ -335,7 +333,7 @@
 
     /// Returns since when the key-value service is unreachable, or `None` if it is reachable.
     pub fn store_unreachable_since(&self) -> Option<MonotonicTime> {
-        self.store_unreachable_since
+        self.store_contact.unreachable_since()
     }
 
     /// Returns the number of times that a request was weighed against the fleet.
--- a/crates/apricotknot-gateway/src/control/state/store_updates.rs
+++ b/crates/apricotknot-gateway/src/control/state/store_updates.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use apricotknot_core::routing::DesiredState;
 use apricotknot_core::types::DataCentreId;
@@ -14,11 +13,6 @@
 use crate::control::StoreUpdate;
 use crate::protocol::RecordChange;
 
-/// Time after an outage of the key-value service within which endpoints announce themselves again.
-///
-/// Until it has passed, endpoints without a record are kept.
-const REANNOUNCE_GRACE: Duration = Duration::from_millis(2_200);
-
 impl ControlState {
     /// Applies the complete content of the key-value service.
     ///
@@ -30,7 +24,7 @@
         mut update: StoreUpdate,
         now: MonotonicTime,
     ) -> Option<Arc<DesiredState>> {
-        self.record_store_reachable(now);
+        self.record_store_answer(now);
         if update.is_restored {
             self.record_restored(now);
         }
@@ -46,13 +40,13 @@
         } else {
             self.quarantine.retain_recorded(&update.registry_changes);
         }
-        self.apply_changes(update, now)
+        self.apply_update(update, now)
     }
 
     /// Records that the service came back from a copy.
     fn record_restored(&mut self, now: MonotonicTime) {
         // Endpoints announce themselves again, as after an outage.
-        self.store_reachable_since = Some(now);
+        self.missing_endpoints.begin(now);
         self.restore_hold.begin(now);
         self.configuration_versions.record_restored(self.registry.index_of(&self.node), now);
     }
@@ -69,7 +63,7 @@
         let known = self.fleet.endpoints().map(|state| &state.entry.id);
         let removed: Vec<_> = known.filter(|id| !present.contains(id)).cloned().collect();
         for endpoint in removed {
-            self.remove_or_defer(endpoint, now);
+            self.remove_or_keep(&endpoint, now);
         }
     }
 
@@ -100,7 +94,21 @@
         update: StoreUpdate,
         now: MonotonicTime,
     ) -> Option<Arc<DesiredState>> {
-        self.record_store_reachable(now);
+        self.record_store_answer(now);
+        for record in &update.record_changes {
+            if let RecordChange::EndpointAnnounced(entry) = record {
+                self.missing_endpoints.record_written(&entry.id, now);
+            }
+        }
+        self.apply_update(update, now)
+    }
+
+    /// Applies the records of a snapshot or of changes.
+    fn apply_update(
+        &mut self,
+        update: StoreUpdate,
+        now: MonotonicTime,
+    ) -> Option<Arc<DesiredState>> {
         for change in update.registry_changes {
             self.apply_registry_change(change, now);
         }
@@ -113,9 +121,7 @@
 
     /// Records that the key-value service is unreachable; returns whether it was reachable before.
     pub fn record_store_unreachable(&mut self, now: MonotonicTime) -> bool {
-        let was_reachable = self.store_unreachable_since.is_none();
-        self.store_unreachable_since.get_or_insert(now);
-        was_reachable
+        self.store_contact.record_failure(now)
     }
 
     fn apply_registry_change(&mut self, change: RegistryChange, now: MonotonicTime) {
@@ -144,7 +150,7 @@
                 return self.apply_configuration(*desired);
             },
             RecordChange::EndpointAnnounced(entry) => {
-                self.missing_until.remove(&entry.id);
+                self.missing_endpoints.record_present(&entry.id);
                 let known = self.fleet.endpoint(&entry.id).map(|state| state.entry.incarnation);
                 if known.is_some_and(|incarnation| incarnation != entry.incarnation) {
                     self.quarantine.confirm_crashes(&entry.id, now);
@@ -153,7 +159,7 @@
             },
             RecordChange::EndpointRemoved(endpoint) => {
                 self.quarantine.confirm_crashes(&endpoint, now);
-                self.remove_or_defer(endpoint, now);
+                self.remove_or_keep(&endpoint, now);
             },
             RecordChange::DataCentreEvacuated(centre) => {
                 self.restore_hold.release_evacuated(&centre);
@@ -178,21 +184,18 @@
         Some(desired)
     }
 
-    fn record_store_reachable(&mut self, now: MonotonicTime) {
-        if self.store_unreachable_since.take().is_some() {
-            self.store_reachable_since = Some(now);
+    fn record_store_answer(&mut self, now: MonotonicTime) {
+        if self.store_contact.record_answer(now) {
+            self.missing_endpoints.begin(now);
         }
     }
 
-    /// Removes an endpoint, or keeps it for a grace time if the store has just been unreachable.
-    fn remove_or_defer(&mut self, endpoint: EndpointId, now: MonotonicTime) {
-        match self
-            .store_reachable_since
-            .map(|since| since + REANNOUNCE_GRACE)
-            .filter(|end| *end > now)
-        {
-            Some(end) => _ = self.missing_until.entry(endpoint).or_insert(end),
-            None => self.remove_endpoint(&endpoint, now),
+    /// Removes an endpoint whose record is gone.
+    ///
+    /// After an outage of the service it is kept for a while: its record may only have expired.
+    fn remove_or_keep(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+        if !self.missing_endpoints.keep(endpoint, now) {
+            self.remove_endpoint(endpoint, now);
         }
     }
 
@@ -204,15 +207,14 @@
         self.fleet.remove_endpoint(endpoint);
     }
 
+    /// Removes the endpoints that have not announced themselves again in time.
+    ///
+    /// While the service is unreachable again, none of them could do so.
     pub(super) fn remove_missing(&mut self, now: MonotonicTime) {
-        let expired: Vec<EndpointId> = self
-            .missing_until
-            .iter()
-            .filter(|(_, end)| **end <= now)
-            .map(|(endpoint, _)| Arc::clone(endpoint))
-            .collect();
-        for endpoint in expired {
-            self.missing_until.remove(&endpoint);
+        if self.store_contact.is_outage() {
+            return;
+        }
+        for endpoint in self.missing_endpoints.take_expired(now) {
             self.remove_endpoint(&endpoint, now);
         }
     }
