routing: accounts without a key open no route

Cause: an empty table of keys meant 'requests need none'. A configuration that names no accounts and one whose accounts hold no key were one state.

Change: KeyPolicy says whether requests need a key; its default needs one. A list of accounts that is null is no configuration, as before.

Looked for elsewhere: a node without a configuration answers 503; peers tell no configuration; kept configurations are the operators' bytes, read by the same code in older and newer builds; the OpenAI interface has no such case (an unknown key is always refused); rows of routes of an unknown kind fall away, which closes; regions of an account: an empty list means all regions, as in the records of the operators.

--- a/crates/apricotknot-core/src/routing/desired_state.rs
+++ b/crates/apricotknot-core/src/routing/desired_state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::KeyTable;
+use super::KeyPolicy;
 use super::RouteTable;
 use crate::fleet::EngineModel;
 use crate::types::AccountId;
@@ -57,8 +57,8 @@
     pub routes: RouteTable,
     /// Profiles of the services that the routes lead to.
     pub services: BTreeMap<ServiceId, ServiceProfile>,
-    /// API keys of the client accounts.
-    pub keys: KeyTable,
+    /// Whether requests need an API key, and the keys of the client accounts.
+    pub keys: KeyPolicy,
     /// Regions whose endpoints may run the requests of an account; all regions for an account that
     /// is absent.
     pub account_regions: BTreeMap<AccountId, Vec<RegionId>>,
--- a/crates/apricotknot-core/src/routing/key_table.rs
+++ b/crates/apricotknot-core/src/routing/key_table.rs
@@ -23,11 +23,6 @@
     pub fn account(&self, key: &str) -> Option<&AccountId> {
         self.accounts.get(key)
     }
-
-    /// Returns whether there are no keys, in which case requests need none.
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
 }
 
 impl std::fmt::Debug for KeyTable {
--- a/crates/apricotknot-core/src/routing/mod.rs
+++ b/crates/apricotknot-core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Routing of opaque requests: the service of each request, its caller's account and its limits.
 
 mod desired_state;
+mod key_policy;
 mod key_table;
 mod route;
 mod route_table;
@@ -8,6 +9,7 @@
 pub use desired_state::DesiredState;
 pub use desired_state::InputLimits;
 pub use desired_state::ServiceProfile;
+pub use key_policy::KeyPolicy;
 pub use key_table::KeyTable;
 pub use route::CallKind;
 pub use route::RouteSpec;
--- a/crates/apricotknot-gateway/src/driver/admitted_call.rs
+++ b/crates/apricotknot-gateway/src/driver/admitted_call.rs
@@ -75,7 +75,7 @@
             return Err(deny(CallFault::NoRoute));
         };
         let account = metadata.api_key.as_ref().and_then(|key| desired.keys.account(key)).cloned();
-        let needs_key = !route.is_public && !desired.keys.is_empty();
+        let needs_key = !route.is_public && desired.keys.is_required();
         if needs_key && !context.shared.is_fresh(arrived) {
             return Err(CallFault::Unready);
         }
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -208,6 +208,31 @@
     }
 }
 
+/// Guards against a fleet that runs the requests of everybody once no account has a key left.
+#[test]
+fn the_last_revoked_key_opens_no_route() {
+    let mut fleet = Fleet::start("last-key", 2);
+    fleet.configure(&[]);
+    for node in &fleet.nodes {
+        wait_until("the key is refused", || node.send(&lookup_request("revoked")).status == 401);
+    }
+    fleet.nodes[1].restart();
+    wait_until("the node is ready", || fleet.nodes[1].is_ready());
+    let ran_before = fleet.plain_runs().len();
+    let unknown_key = lookup_request("b").replace(gateway_fleet::KEY, "another");
+    let without_key = lookup_request("c").replace("x-api-key: key-one\r\n", "");
+    for node in &fleet.nodes {
+        for request in [&lookup_request("a"), &unknown_key, &without_key] {
+            assert_eq!(node.send(request).status, 401, "{request}");
+        }
+    }
+    assert_eq!(fleet.plain_runs().len(), ran_before);
+    fleet.configure(&[gateway_fleet::KEY]);
+    for node in &fleet.nodes {
+        wait_until("the key is back", || node.send(&lookup_request("back")).status == 200);
+    }
+}
+
 #[test]
 fn a_node_without_the_store_becomes_unready_and_refuses_calls() {
     let fleet = Fleet::start("blind", 1);
