gateway: answers of all calls share a limit of memory

Cause: limits for each answer, none for all of them.

Change: AnswerBudget, 32 MiB for what answers hold beyond 64 KiB each; an answer for which it has no room ends as one that does not follow the protocol, so the call may have run, and is repeated where it may be. Heads of an answer may be 64 KiB together, informational ones included: the decoder bounded one head (128 KiB), not their number.

--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -23,6 +23,7 @@
     ) -> Result<(), CallInterrupt> {
         let AnsweredAttempt { mut open, head } = answered;
         let mut body = BytesMut::new();
+        let fallback_bytes = self.fallback.as_ref().map_or(0, |(_, body)| body.len());
         loop {
             match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => {
@@ -30,6 +31,10 @@
                 },
                 Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
                 Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_BUFFERED_ANSWER_BYTES => {
+                    let held = fallback_bytes + body.len() + part.len();
+                    if let Err(error) = self.answer_memory.set_held(held) {
+                        return Err(self.end_broken_attempt(open, &error.into()));
+                    }
                     open.progress_at = self.now();
                     body.extend_from_slice(&part);
                 },
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -31,6 +31,7 @@
 use crate::control::AttemptGuard;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
+use crate::endpoint::AnswerMemory;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
 use crate::protocol::CallProtocol;
@@ -75,6 +76,8 @@
     pub(super) runs: u32,
     /// Server error of an endpoint, which is forwarded if no later attempt is answered.
     pub(super) fallback: Option<(ResponseHead, Bytes)>,
+    /// Memory of the answers that the call holds.
+    pub(super) answer_memory: AnswerMemory,
 }
 
 impl<'a, P: CallProtocol> CallDriver<'a, P> {
@@ -101,6 +104,7 @@
             sends: 0,
             runs: 0,
             fallback: None,
+            answer_memory: AnswerMemory::new(Arc::clone(&context.answer_budget)),
         }
     }
 
--- a/crates/apricotknot-gateway/src/driver/context.rs
+++ b/crates/apricotknot-gateway/src/driver/context.rs
@@ -11,6 +11,7 @@
 use crate::clock::BootClock;
 use crate::control::ControlHandle;
 use crate::control::SharedState;
+use crate::endpoint::AnswerBudget;
 
 /// Holds the state and the handles that all calls of one traffic thread share.
 #[derive(Clone)]
@@ -29,6 +30,8 @@
     pub control: ControlHandle,
     /// Clock of the node.
     pub clock: BootClock,
+    /// Memory that the answers which the node holds may occupy.
+    pub answer_budget: Arc<AnswerBudget>,
     /// Metrics of the node.
     pub metrics: Arc<GatewayMetrics>,
     /// Logger of the node.
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -66,6 +66,9 @@
             if splitter.len() > MAX_EVENT_BYTES {
                 return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
             }
+            if let Err(error) = self.answer_memory.set_held(splitter.len()) {
+                return Err(self.end_broken_attempt(open, &error.into()));
+            }
             self.wait_for_buffer_space().await?;
         }
         self.finish_stream(open, &head)
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -39,6 +39,9 @@
 /// Bytes that are read from the connection at a time.
 const READ_CHUNK_BYTES: usize = 8 * 1_024;
 
+/// Largest heads of one answer together, informational ones included, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 /// Describes a request to an endpoint.
 #[derive(Debug)]
 pub struct EndpointRequest {
@@ -70,6 +73,8 @@
     input: BytesMut,
     output: BytesMut,
     framing: BodyFraming,
+    /// Bytes of the heads that were decoded.
+    head_bytes: usize,
 }
 
 impl EndpointExchange {
@@ -105,7 +110,8 @@
         let mut codec = ClientCodec::new(config.clone());
         let output = encode(&mut codec, head, body)?;
         let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
-        Ok(Self { connection, input, output, framing: BodyFraming::AwaitingHead(codec) })
+        let framing = BodyFraming::AwaitingHead(codec);
+        Ok(Self { connection, input, output, framing, head_bytes: 0 })
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -159,10 +165,17 @@
         };
         // Informational heads (1xx) may arrive together with the final one.
         let head = loop {
-            match codec.decode(&mut self.input).map_err(ExchangeError::Malformed)? {
+            let available = self.input.len();
+            let decoded = codec.decode(&mut self.input).map_err(ExchangeError::Malformed)?;
+            self.head_bytes += available - self.input.len();
+            match decoded {
+                Some(head) if !head.status.is_informational() => break head,
+                // The decoder alone takes any number of informational heads.
+                _ if self.head_bytes + self.input.len() > MAX_HEAD_BYTES => {
+                    return Err(ExchangeError::HeadTooLarge { limit: MAX_HEAD_BYTES });
+                },
+                Some(_) => {},
                 None => return Ok(None),
-                Some(head) if head.status.is_informational() => {},
-                Some(head) => break head,
             }
         };
         let framing = std::mem::replace(&mut self.framing, BodyFraming::Complete);
--- a/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
@@ -6,6 +6,7 @@
 use actix_http::error::ParseError;
 use thiserror::Error;
 
+use super::AnswerBudgetError;
 use crate::relay::RelayError;
 
 /// Reports why an exchange with an endpoint failed.
@@ -32,6 +33,15 @@
     /// The endpoint sent bytes that are not an HTTP answer.
     #[error("the answer does not follow the protocol: {0}")]
     Malformed(ParseError),
+    /// The heads of the answer are too large; informational ones count.
+    #[error("the heads of the answer exceed {limit} bytes")]
+    HeadTooLarge {
+        /// Most bytes of the heads of one answer.
+        limit: usize,
+    },
+    /// The node has no memory for more of the answer.
+    #[error(transparent)]
+    OutOfMemory(#[from] AnswerBudgetError),
     /// The body of the answer does not follow the protocol, or is too large.
     #[error("the body of the answer does not follow the protocol")]
     MalformedBody,
--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -1,10 +1,14 @@
 //! HTTP client for endpoints, and the splitting of event streams.
 
+mod answer_budget;
 mod connection;
 mod event_splitter;
 mod exchange;
 mod exchange_error;
 
+pub use answer_budget::AnswerBudget;
+pub use answer_budget::AnswerBudgetError;
+pub use answer_budget::AnswerMemory;
 pub use connection::CONNECT_TIMEOUT;
 pub use connection::EndpointConnection;
 pub use connection::connect;
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -26,6 +26,7 @@
 use crate::control::start_control;
 use crate::driver::CallerSession;
 use crate::driver::TrafficContext;
+use crate::endpoint::AnswerBudget;
 use crate::operations::OperationsSession;
 use crate::protocol::CallProtocol;
 use crate::protocol::RecordTranslator;
@@ -35,6 +36,9 @@
 /// Most established connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// Memory that long answers may occupy together, in bytes; the smallest VMs have 160 MB.
+const MAX_ANSWER_MEMORY_BYTES: usize = 32 * 1_024 * 1_024;
+
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -117,6 +121,7 @@
             shared,
             control,
             clock: BootClock,
+            answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
             metrics: Arc::new(GatewayMetrics::new()),
             logger,
         };
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -16,6 +16,7 @@
 use apricotknot_gateway::control::SharedState;
 use apricotknot_gateway::control::StalenessLimits;
 use apricotknot_gateway::driver::TrafficContext;
+use apricotknot_gateway::endpoint::AnswerBudget;
 use apricotknot_gateway::peers::DatagramSeal;
 use apricotknot_gateway::peers::PeerSeals;
 use apricotknot_gateway::protocol::RecordChange;
@@ -77,6 +78,7 @@
             shared: Arc::clone(&shared),
             control: node.handle.clone(),
             clock: BootClock,
+            answer_budget: Arc::new(AnswerBudget::new(1_024 * 1_024)),
             metrics: Arc::clone(&metrics),
             logger: Logger::root(Discard, o!()),
         };
--- a/crates/apricotknot/tests/endless_answers.rs
+++ b/crates/apricotknot/tests/endless_answers.rs
@@ -32,6 +32,12 @@
 /// Largest memory of a node while an endpoint sends without end, in kilobytes.
 const MAX_NODE_KILOBYTES: u64 = 200_000;
 
+/// Memory of the smallest VMs that nodes run on, in kilobytes.
+const SMALLEST_VM_KILOBYTES: u64 = 160_000;
+
+/// Calls of one node that get endless answers at the same time.
+const ENDLESS_CALLS: usize = 64;
+
 /// Connections and bytes of one endpoint.
 #[derive(Debug, Default)]
 struct ConnectionCounts {
@@ -223,6 +229,124 @@
     );
 }
 
+/// Returns the head of a chunked answer, and a chunk of 16 KiB.
+fn chunked_answer(filler: &str) -> (&'static str, &'static str) {
+    let start = "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\
+                 transfer-encoding: chunked\r\n\r\n";
+    (start, format!("4000\r\n{}\r\n", filler.repeat(0x4000 / filler.len())).leak())
+}
+
+/// Registers endpoints that answer by `script`, each with room for 16 calls.
+fn announce_faulty(fleet: &Fleet, service: &str, script: AnswerScript) {
+    for index in 0..ENDLESS_CALLS / 16 {
+        let (address, _) = start_endpoint(script);
+        let entry = json!({
+            "service": service, "addr": address.to_string(), "zone": "north", "slots": 16,
+            "state": "ready", "coldRemainingMs": 0, "seq": 1, "born": 1,
+        });
+        fleet.store.put(&format!("servers/faulty-{index}"), &entry);
+    }
+}
+
+/// Checks that a node keeps serving, and keeps within the smallest VM, while many calls of one
+/// service get answers by `script` and other calls go to a sound service.
+fn check_many_endless(name: &str, service: &str, script: AnswerScript) {
+    let fleet = Fleet::start(name, 1);
+    let ids = if service == "desk" { ["desk-1", "desk-2"] } else { ["engine-1", "engine-2"] };
+    ids.iter().for_each(|id| fleet.store.remove(&format!("servers/{id}")));
+    announce_faulty(&fleet, service, script);
+    wait_until("the node knows the endpoints", || {
+        let lines = fleet.nodes[0].log_lines();
+        lines.iter().any(|line| line["endpoint"] == "faulty-3")
+    });
+    let (faulty, sound): (fn(&str) -> String, fn(&str) -> String) = match service {
+        "desk" => (lookup_request, |id| stream_request(id, 1_000)),
+        _ => (|id| stream_request(id, 1_000), lookup_request),
+    };
+    std::thread::scope(|scope| {
+        let fleet = &fleet;
+        for index in 0..ENDLESS_CALLS {
+            scope.spawn(move || {
+                let request = faulty(&format!("faulty-{index}"));
+                let request = request.replace("deadline: 8000", "deadline: 3000");
+                let answer = fleet.nodes[0].send(&request);
+                let is_whole_success = answer.status == 200 && answer.is_complete;
+                assert!(!is_whole_success, "{name}: {} {}", answer.status, answer.head);
+                let may_have_run = matches!(answer.status, 0 | 200 | 502 | 504);
+                let is_refused_truly = answer.body.contains("\"executed\":\"no\"");
+                assert!(may_have_run || is_refused_truly, "{name}: {answer:?}");
+            });
+        }
+        for index in 0..20 {
+            sleep(Duration::from_millis(150));
+            let answer = fleet.nodes[0].send(&sound(&format!("sound-{index}")));
+            assert_eq!((answer.status, answer.is_complete), (200, true), "{name}: {answer:?}");
+        }
+    });
+    assert!(fleet.nodes[0].is_ready(), "{name}: the node serves on");
+    let memory = fleet.nodes[0].peak_kilobytes();
+    assert!(memory < SMALLEST_VM_KILOBYTES, "{name}: {memory} kB");
+    println!("{name}: {memory} kB at most");
+}
+
+// Guards against a node that ends, with the calls of other clients, because it keeps what faulty
+// endpoints send to many calls at once.
+#[test]
+fn endless_bodies_of_many_calls_leave_memory_for_others() {
+    let (start, repeated) = chunked_answer("filler..");
+    let pause = Duration::from_millis(8);
+    check_many_endless("many-bodies", "desk", AnswerScript { start, repeated, pause });
+}
+
+#[test]
+fn endless_events_of_many_calls_leave_memory_for_others() {
+    let (start, repeated) = chunked_answer("data: ..");
+    let pause = Duration::from_millis(20);
+    check_many_endless("many-events", "model", AnswerScript { start, repeated, pause });
+}
+
+#[test]
+fn endless_heads_of_many_calls_leave_memory_for_others() {
+    let repeated = "x".repeat(16_384).leak();
+    let start = "HTTP/1.1 200 OK\r\nx-filler: ";
+    let pause = Duration::from_millis(8);
+    check_many_endless("many-heads", "desk", AnswerScript { start, repeated, pause });
+}
+
+#[test]
+fn chunk_extension_without_end_ends_with_the_call() {
+    check_endless(
+        "endless-extension",
+        AnswerScript {
+            start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\
+                    transfer-encoding: chunked\r\n\r\n1;",
+            repeated: "extension",
+            pause: Duration::ZERO,
+        },
+    );
+}
+
+#[test]
+fn status_line_without_end_ends_with_the_call() {
+    check_endless(
+        "endless-status",
+        AnswerScript { start: "HTTP/1.1 200 ", repeated: "OK", pause: Duration::ZERO },
+    );
+}
+
+#[test]
+fn trailers_without_end_end_with_the_call() {
+    check_endless(
+        "endless-trailers",
+        AnswerScript {
+            start: "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\
+                    transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+            repeated: "x-filler: a\r\n",
+            pause: Duration::ZERO,
+        },
+    );
+}
+
 #[test]
 fn stream_without_length_that_ends_after_an_event_is_complete() {
     let start = "HTTP/1.1 200 OK\r\nrequest-id: REQUEST\r\nresponse-seal: s\r\n\r\n\
