OpenAI interface: answers of all calls share a limit of memory

A JSON answer is read whole, up to 32 MiB; an engine that sends without end does so for each call.

Change: the budget of the gateway, 64 MiB here, for JSON answers, events of streams and answers of plain services.

--- a/crates/apricotknot/src/engine/sse.rs
+++ b/crates/apricotknot/src/engine/sse.rs
@@ -42,6 +42,16 @@
         Ok(())
     }
 
+    /// Returns the number of buffered bytes, including those of complete events.
+    pub fn len(&self) -> usize {
+        self.events.len()
+    }
+
+    /// Returns whether no bytes are buffered.
+    pub fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         self.events.next_bytes().map(scan_event)
--- a/crates/apricotknot/src/front/context.rs
+++ b/crates/apricotknot/src/front/context.rs
@@ -6,6 +6,7 @@
 
 use apricotknot_core::outcome::RetryBudget;
 use apricotknot_core::types::ServiceId;
+use apricotknot_gateway::endpoint::AnswerBudget;
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -47,6 +48,8 @@
     pub metrics: Arc<NodeMetrics>,
     /// Handle that sends commands to the control thread and reads the configuration.
     pub control: ControlHandle,
+    /// Memory that the answers which the node holds may occupy.
+    pub answer_budget: Arc<AnswerBudget>,
     /// Handle to the ledger of non-repeatable calls.
     pub ledger: LedgerHandle,
     /// Current phase of the node.
--- a/crates/apricotknot/src/front/driver/sending.rs
+++ b/crates/apricotknot/src/front/driver/sending.rs
@@ -5,6 +5,7 @@
 use apricotknot_core::outcome::LossCause;
 use apricotknot_core::outcome::RequestEvent;
 use apricotknot_core::types::AttemptId;
+use apricotknot_gateway::endpoint::AnswerMemory;
 
 use super::RequestDriver;
 use crate::control::ControlCommand;
@@ -91,7 +92,9 @@
                 let boot = answer.boot.clone();
                 let echoed = answer.echoed;
                 if let Some(open) = &mut self.open {
-                    open.reader = Some(AnswerReader::new(answer, self.call.is_stream, first_index));
+                    let memory = AnswerMemory::new(self.context.shared.answer_budget.clone());
+                    let is_stream = self.call.is_stream;
+                    open.reader = Some(AnswerReader::new(answer, is_stream, first_index, memory));
                 }
                 self.feed(RequestEvent::HeadReceived { attempt, echoed, boot });
             },
--- a/crates/apricotknot/src/front/stream.rs
+++ b/crates/apricotknot/src/front/stream.rs
@@ -2,6 +2,7 @@
 
 use apricotknot_core::types::BootId;
 use apricotknot_core::types::TokenCount;
+use apricotknot_gateway::endpoint::AnswerMemory;
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures::Stream;
@@ -48,6 +49,8 @@
     is_fully_read: bool,
     next_index: u64,
     completion_tokens: Option<TokenCount>,
+    /// Memory of what was read and is not forwarded.
+    memory: AnswerMemory,
 }
 
 impl<B> AnswerReader<B>
@@ -55,7 +58,14 @@
     B: Stream<Item = Result<Bytes, EngineError>> + Unpin,
 {
     /// Creates a reader of `answer`, whose first chunk has the position `first_index`.
-    pub(super) fn new(answer: EngineAnswer<B>, is_stream: bool, first_index: u64) -> Self {
+    ///
+    /// What it holds counts in `memory`.
+    pub(super) fn new(
+        answer: EngineAnswer<B>,
+        is_stream: bool,
+        first_index: u64,
+        memory: AnswerMemory,
+    ) -> Self {
         Self {
             body: answer.body,
             boot: answer.boot,
@@ -65,6 +75,7 @@
             is_fully_read: false,
             next_index: first_index,
             completion_tokens: None,
+            memory,
         }
     }
 
@@ -90,6 +101,9 @@
                 Some(Ok(chunk)) if self.splitter.push(&chunk).is_ok() => {},
                 _ => return AnswerEvent::Broken,
             }
+            if self.memory.set_held(self.splitter.len()).is_err() {
+                return AnswerEvent::Broken;
+            }
         }
     }
 
@@ -103,7 +117,8 @@
             let Ok(chunk) = chunk else {
                 return AnswerEvent::Broken;
             };
-            if whole.len() + chunk.len() > MAX_ANSWER_BYTES {
+            let held = whole.len() + chunk.len();
+            if held > MAX_ANSWER_BYTES || self.memory.set_held(held).is_err() {
                 return AnswerEvent::Broken;
             }
             whole.extend_from_slice(&chunk);
--- a/crates/apricotknot/src/node/process.rs
+++ b/crates/apricotknot/src/node/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use apricotknot_core::ledger::LedgerPolicy;
+use apricotknot_gateway::endpoint::AnswerBudget;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -30,6 +31,9 @@
 /// Interval at which a shutdown checks whether requests are still open.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Memory that long answers may occupy together, in bytes; it holds two of the largest size.
+const MAX_ANSWER_MEMORY_BYTES: usize = 64 << 20;
+
 /// Time limit for open requests to end after they are interrupted.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -89,6 +93,7 @@
             logger: logger.clone(),
             metrics: metrics.clone(),
             control: control.handle(),
+            answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
             ledger: control.ledger(),
             phase: phase_receiver,
         };
--- a/crates/apricotknot/src/node/server.rs
+++ b/crates/apricotknot/src/node/server.rs
@@ -72,7 +72,10 @@
         .disable_signals()
         .listen("callers", callers, move || {
             let context = TrafficContext::new(caller_parts.clone(), HttpEngineClient::new());
-            let front = FrontService::new(context, HttpPlainClient::new());
+            let front = FrontService::new(
+                context,
+                HttpPlainClient::new(caller_parts.answer_budget.clone()),
+            );
             HttpService::build()
                 .client_request_timeout(header_timeout)
                 .client_disconnect_timeout(DISCONNECT_TIMEOUT)
--- a/crates/apricotknot/src/plain/adapter.rs
+++ b/crates/apricotknot/src/plain/adapter.rs
@@ -1,12 +1,20 @@
 //! HTTP client for plain services.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use apricotknot_core::types::AttemptId;
+use apricotknot_gateway::endpoint::AnswerBudget;
+use apricotknot_gateway::endpoint::AnswerMemory;
 use awc::Client;
 use awc::ClientResponse;
+use awc::error::PayloadError;
 use awc::error::SendRequestError;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::Stream;
+use futures::StreamExt;
 
 use super::PlainAnswer;
 use super::PlainClient;
@@ -31,18 +39,13 @@
 #[derive(Clone)]
 pub struct HttpPlainClient {
     client: Client,
+    answer_budget: Arc<AnswerBudget>,
 }
 
 impl HttpPlainClient {
-    /// Creates a client without open connections.
-    pub fn new() -> Self {
-        Self { client: endpoint_client(MAX_CONNECTIONS) }
-    }
-}
-
-impl Default for HttpPlainClient {
-    fn default() -> Self {
-        Self::new()
+    /// Creates a client without open connections, whose answers count in `answer_budget`.
+    pub fn new(answer_budget: Arc<AnswerBudget>) -> Self {
+        Self { client: endpoint_client(MAX_CONNECTIONS), answer_budget }
     }
 }
 
@@ -58,16 +61,20 @@
             .insert_header((ATTEMPT_HEADER, format!("{:032x}", request.attempt)))
             .timeout(request.timeout);
         let response = http_request.send_body(request.body).await;
-        read_answer(response.map_err(|error| send_error(&error))?).await
+        let response = response.map_err(|error| send_error(&error))?;
+        read_answer(response, AnswerMemory::new(Arc::clone(&self.answer_budget))).await
     }
 }
 
 /// Reads the whole answer.
 ///
 /// A status of 412, 429 or 503 counts as a refusal only if the service states that it did no work.
-async fn read_answer<S>(mut response: ClientResponse<S>) -> Result<PlainAnswer, PlainError>
+async fn read_answer<S>(
+    response: ClientResponse<S>,
+    memory: AnswerMemory,
+) -> Result<PlainAnswer, PlainError>
 where
-    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let headers = response.headers().clone();
     let status = response.status().as_u16();
@@ -78,11 +85,27 @@
             .echoed(echoed)
             .retry_after(delay.map(Duration::from_secs)));
     }
-    match response.body().limit(MAX_ANSWER_BYTES).await {
-        Ok(body) => Ok(PlainAnswer { echoed, status, headers, body }),
-        Err(awc::error::PayloadError::Overflow) => Err(PlainError::new(PlainErrorKind::TooLarge)),
-        Err(_) => Err(PlainError::new(PlainErrorKind::Lost)),
+    let body = read_body(response, memory).await?;
+    Ok(PlainAnswer { echoed, status, headers, body })
+}
+
+async fn read_body<S>(
+    mut response: ClientResponse<S>,
+    mut memory: AnswerMemory,
+) -> Result<Bytes, PlainError>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut body = BytesMut::new();
+    while let Some(part) = response.next().await {
+        let part = part.map_err(|_| PlainError::new(PlainErrorKind::Lost))?;
+        let held = body.len() + part.len();
+        if held > MAX_ANSWER_BYTES || memory.set_held(held).is_err() {
+            return Err(PlainError::new(PlainErrorKind::TooLarge));
+        }
+        body.extend_from_slice(&part);
     }
+    Ok(body.freeze())
 }
 
 /// Returns the error for a failed send, by whether any bytes may have been sent.
--- a/crates/apricotknot/tests/stale_refusals.rs
+++ b/crates/apricotknot/tests/stale_refusals.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -20,6 +21,7 @@
 use apricotknot::plain::PlainErrorKind;
 use apricotknot::plain::PlainRequest;
 use apricotknot_core::types::AttemptId;
+use apricotknot_gateway::endpoint::AnswerBudget;
 use bytes::Bytes;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -32,6 +34,10 @@
 /// Attempt that the endpoint runs.
 const RUN: AttemptId = 2;
 
+fn answer_budget() -> Arc<AnswerBudget> {
+    Arc::new(AnswerBudget::new(1_024 * 1_024))
+}
+
 /// An endpoint that refuses the first request and runs all others.
 struct FaultyEndpoint {
     address: SocketAddr,
@@ -130,7 +136,7 @@
 async fn second_copy_of_a_refusal_does_not_refuse_the_next_call() {
     for echoed in [Some(REFUSED), None] {
         let endpoint = FaultyEndpoint::start(echoed).await.expect("a listener");
-        let client = HttpPlainClient::new();
+        let client = HttpPlainClient::new(answer_budget());
         let first = client.call(plain_request(endpoint.address, REFUSED)).await;
         let first = first.map_err(|error| error.kind()).map(|answer| answer.status);
         assert_eq!(first, Err(PlainErrorKind::Refused));
@@ -159,7 +165,7 @@
 #[actix_rt::test]
 async fn each_prompt_and_call_has_a_connection_of_its_own() {
     let endpoint = FaultyEndpoint::start(None).await.expect("a listener");
-    let (engine, plain) = (HttpEngineClient::new(), HttpPlainClient::new());
+    let (engine, plain) = (HttpEngineClient::new(), HttpPlainClient::new(answer_budget()));
     for _ in 0..2 {
         let _ = engine.start(engine_request(endpoint.address, RUN)).await;
         let _ = plain.call(plain_request(endpoint.address, RUN)).await;
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -368,7 +368,8 @@
 /// Reads one answer, or the part that was received when the connection ended or timed out.
 pub(crate) fn read_answer(stream: &mut TcpStream) -> Answer {
     let mut bytes = Vec::new();
-    let mut buffer = [0; 4_096];
+    // Each part is parsed together with all before it, so there should be few.
+    let mut buffer = vec![0; 65_536];
     loop {
         if let Some(answer) = parse_answer(&bytes)
             && answer.is_complete
