placement: a size beyond all numbers is too large, and ends no control thread

Cause: the sum of prompt and output wrapped, so the request passed as small; an estimate then multiplied a duration by more than it holds, and panicked. Nothing ended a process whose control thread was gone.

Change: sums of stated sizes saturate, so such a request is refused as too large, truly not run. A node whose control thread has ended completes the calls it has and exits, to be started again, at both interfaces. Ids of events are followed without overflow.

--- a/crates/apricotknot-core/src/fleet/engine_model.rs
+++ b/crates/apricotknot-core/src/fleet/engine_model.rs
@@ -4,6 +4,9 @@
 
 use crate::types::TokenCount;
 
+/// Longest estimate; a longer one counts as this, so that sums and multiples of estimates fit.
+const MAX_ESTIMATE: Duration = Duration::from_secs(86_400);
+
 /// Performance model of one kind of model engine: how much time and memory requests take on it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineModel {
@@ -47,10 +50,13 @@
     /// alone on the engine.
     pub fn decode_time(&self, prompt: TokenCount, output: TokenCount) -> Duration {
         let events = output as f64 / f64::from(self.steps_per_event.max(1));
-        self.event_interval(1, prompt + output / 2).mul_f64(events)
+        let interval = self.event_interval(1, prompt.saturating_add(output / 2));
+        milliseconds(interval.as_secs_f64() * 1_000.0 * events)
     }
 }
 
+/// Returns a time in milliseconds, from zero to [`MAX_ESTIMATE`].
 fn milliseconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value.max(0.0) / 1_000.0).unwrap_or(Duration::MAX)
+    let time = Duration::try_from_secs_f64(value.max(0.0) / 1_000.0);
+    time.unwrap_or(MAX_ESTIMATE).min(MAX_ESTIMATE)
 }
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -167,7 +167,8 @@
         return PlacementDecision::Refuse { reason: "no endpoint", retry_after: NO_ROOM_RETRY };
     }
     if let Some(engine) = engine {
-        let total_memory = engine.memory * u64::try_from(eligible.len()).unwrap_or(u64::MAX);
+        let count = u64::try_from(eligible.len()).unwrap_or(u64::MAX);
+        let total_memory = engine.memory.saturating_mul(count);
         if query.size.memory() > total_memory {
             return PlacementDecision::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
         }
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -285,7 +285,7 @@
 
 /// Returns the time between two events of a new stream that is decoded along with those of `load`.
 fn event_interval_with(engine: &EngineModel, load: &EndpointLoad, prompt: TokenCount) -> Duration {
-    engine.event_interval(load.stream_count() + 1, load.context + prompt)
+    engine.event_interval(load.stream_count() + 1, load.context.saturating_add(prompt))
 }
 
 /// Divides the memory that does not fit on the runner among the helpers.
--- a/crates/apricotknot-core/src/fleet/work.rs
+++ b/crates/apricotknot-core/src/fleet/work.rs
@@ -19,8 +19,10 @@
 
 impl RequestSize {
     /// Returns the maximum key-value cache that the request may occupy, in tokens.
+    ///
+    /// Callers state both numbers, which may be as large as they like.
     pub fn memory(&self) -> TokenCount {
-        self.prompt + self.max_output
+        self.prompt.saturating_add(self.max_output)
     }
 }
 
--- a/crates/apricotknot-gateway/src/control/handle.rs
+++ b/crates/apricotknot-gateway/src/control/handle.rs
@@ -33,6 +33,11 @@
         let _ = self.sender.send(command);
     }
 
+    /// Waits until the control thread has ended, by itself or because it was stopped.
+    pub async fn ended(&self) {
+        self.sender.closed().await;
+    }
+
     /// Stops the control thread, and waits until it has withdrawn the node.
     pub async fn stop(&self) {
         let (done, ended) = oneshot::channel();
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -80,7 +80,7 @@
     /// a stream.
     fn is_next(&self, event: &StreamEvent, is_first: bool) -> bool {
         match (self.last_event_id, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
+            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
             (Some(_), None) => !(is_first && self.has_answer_begun),
             (None, _) => true,
         }
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -132,6 +132,11 @@
         Ok(node)
     }
 
+    /// Waits until the control thread has ended, without which the node serves nothing.
+    pub async fn control_ended(&self) {
+        self.context.control.ended().await;
+    }
+
     /// Stops accepting requests, and waits until the accepted ones are answered.
     ///
     /// Waits no longer than the stop timeout of the settings, less a reserve. Calls that are still
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -12,6 +12,7 @@
 use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::LoadSnapshot;
+use apricotknot_core::fleet::RequestSize;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_gateway::control::ControlCommand;
 use apricotknot_gateway::control::NodeRecord;
@@ -142,6 +143,52 @@
     assert_eq!(node.state.fleet().endpoints().count(), 1);
 }
 
+// Guards against one caller's header that ends the control thread of each node that gets it.
+#[test]
+fn requests_of_any_stated_size_are_decided() {
+    let sizes = [0, 1, 45_000, 1 << 40, 1 << 53, 1 << 62, u64::MAX - 1, u64::MAX];
+    for memory in [100_000, 1 << 50, u64::MAX] {
+        let mut node = TestNode::with_engines(3);
+        let mut huge = desired(2);
+        for engine in huge.services.values_mut().filter_map(|profile| profile.engine.as_mut()) {
+            engine.memory = memory;
+        }
+        let record = RecordChange::Configuration(Box::new(huge));
+        node.state.apply_changes(update_of(vec![record]), NOW);
+        let all = sizes.iter().flat_map(|prompt| sizes.map(|output| (*prompt, output)));
+        for (prompt, max_output) in all {
+            for expected_output in [0, max_output / 2, max_output] {
+                let size = RequestSize { prompt, expected_output, max_output };
+                drop(node.request_placement_with(prompt, NOW, |request| request.query.size = size));
+                node.process_commands(NOW);
+            }
+        }
+        drop(node.request_placement(1_000, NOW));
+    }
+}
+
+#[test]
+fn request_whose_size_exceeds_all_numbers_is_too_large() {
+    let mut node = TestNode::with_engines(2);
+    let mut reply = node.request_placement_with(45_000, NOW, |request| {
+        request.query.size.max_output = u64::MAX;
+        request.query.size.expected_output = u64::MAX;
+    });
+    let refusal = reply.try_recv().expect("answer to the request").expect_err("too large");
+    assert_eq!(refusal.reason, "too large");
+}
+
+// Guards against a process that goes on without its control thread and serves nothing.
+#[tokio::test(flavor = "current_thread")]
+async fn end_of_the_control_thread_is_noticed() {
+    let node = TestNode::new();
+    let handle = node.handle.clone();
+    let waiting = tokio::time::timeout(Duration::from_millis(20), handle.ended());
+    waiting.await.expect_err("the thread runs");
+    drop(node);
+    handle.ended().await;
+}
+
 fn removed(index: usize) -> RecordChange {
     RecordChange::EndpointRemoved(format!("engine-{index}").into())
 }
--- a/crates/apricotknot/src/control/handle.rs
+++ b/crates/apricotknot/src/control/handle.rs
@@ -40,6 +40,11 @@
         Self { commands, view, status }
     }
 
+    /// Waits until the control thread has ended.
+    pub async fn ended(&self) {
+        self.commands.closed().await;
+    }
+
     /// Sends a command; it is lost only if the control thread has ended.
     pub fn send(&self, command: ControlCommand) {
         let _ = self.commands.send(command);
--- a/crates/apricotknot/src/front/stream.rs
+++ b/crates/apricotknot/src/front/stream.rs
@@ -94,7 +94,7 @@
                     return AnswerEvent::Complete { end_marker: Some(event.bytes) };
                 }
                 let index = event.index.unwrap_or(self.next_index);
-                self.next_index = index + 1;
+                self.next_index = index.saturating_add(1);
                 return AnswerEvent::Chunk { index, bytes: event.bytes };
             }
             match self.body.next().await {
--- a/crates/apricotknot/src/gateway.rs
+++ b/crates/apricotknot/src/gateway.rs
@@ -60,9 +60,15 @@
             return ExitCode::from(EXIT_NODE_FAILED);
         },
     };
-    wait_for_terminate(&mut terminate, &mut hangup, || reload(&settings, file, &logger)).await;
+    let is_asked = tokio::select! {
+        () = wait_for_terminate(&mut terminate, &mut hangup, || reload(&settings, file, &logger)) => true,
+        () = node.control_ended() => false,
+    };
+    if !is_asked {
+        error!(logger, "node: control thread has ended; ending the process, to be started again");
+    }
     let interrupted = node.stop().await;
-    if interrupted > 0 { ExitCode::from(EXIT_NODE_FAILED) } else { ExitCode::SUCCESS }
+    if is_asked && interrupted == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_NODE_FAILED) }
 }
 
 async fn wait_for_terminate<F: Fn()>(terminate: &mut Signal, hangup: &mut Signal, reload: F) {
--- a/crates/apricotknot/src/main.rs
+++ b/crates/apricotknot/src/main.rs
@@ -108,9 +108,14 @@
         eprintln!("error: signals cannot be received");
         return ExitCode::from(EXIT_NODE_FAILED);
     };
-    wait_for_signal(&mut terminate, &mut interrupt).await;
+    let control = node.control();
+    let is_asked = tokio::select! {
+        () = wait_for_signal(&mut terminate, &mut interrupt) => true,
+        // Without it the node serves nothing; the process ends, to be started again.
+        () = control.ended() => false,
+    };
     let interrupted = node.stop(wait_for_signal(&mut terminate, &mut interrupt)).await;
-    if interrupted > 0 { ExitCode::from(EXIT_NODE_FAILED) } else { ExitCode::SUCCESS }
+    if is_asked && interrupted == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_NODE_FAILED) }
 }
 
 async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) {
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -208,6 +208,25 @@
     }
 }
 
+/// Guards against a client whose header ends the service of every node that it reaches.
+#[test]
+fn a_token_count_beyond_all_numbers_is_refused_and_stops_nothing() {
+    let fleet = Fleet::start("token-count", 1);
+    let node = &fleet.nodes[0];
+    for count in ["45000,18446744073709551615", "18446744073709551615,18446744073709551615"] {
+        let request = stream_request("huge", 1_000).replace("1000,300", count);
+        assert!(request.contains(count), "{request}");
+        let answer = node.send(&request);
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.body.contains("\"executed\":\"no\""), "{answer:?}");
+    }
+    let past_the_last_event = stream_request("event", 1_000)
+        .replace("token-count", "last-event-id: 18446744073709551615\r\ntoken-count");
+    let _ = node.send(&past_the_last_event);
+    assert_eq!(node.send(&stream_request("sound", 1_000)).status, 200);
+    assert!(node.is_ready());
+}
+
 /// Guards against a fleet that runs the requests of everybody once no account has a key left.
 #[test]
 fn the_last_revoked_key_opens_no_route() {
