soak: silent connections, records that go, and nodes of two builds

Open connections to the store or an endpoint go silent for good while new ones work, and a record of a live endpoint goes and comes back. With SOAK_OTHER_PROGRAM nodes begin as another build and each restart chooses one of both.

--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -7,6 +7,9 @@
 //! ```text
 //! SOAK_SEEDS=100..150 cargo test --release --test soak by_hand -- --ignored --nocapture
 //! ```
+//!
+//! With `SOAK_OTHER_PROGRAM`, the path of a program of another build, nodes start as that build, and
+//! each restart of a node chooses one of both builds.
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
@@ -20,6 +23,7 @@
 mod soak_callers;
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
@@ -41,6 +45,7 @@
 use gateway_fleet::lookup_request;
 use gateway_fleet::next_node_address;
 use gateway_fleet::order_request;
+use gateway_fleet::own_program;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
 use soak_callers::CallKind;
@@ -97,6 +102,10 @@
     LinkBlocked(usize, LinkDirection),
     LinkBlockedBothWays(usize),
     LinkReset(usize),
+    /// Open connections carry nothing more; new ones work.
+    LinkSilenced(usize),
+    /// The record of the endpoint is removed, and written again at the end.
+    EndpointRemoved(usize),
     Endpoint(usize, EndpointFault),
     /// The same fault at both endpoints of a service.
     Service(usize, EndpointFault),
@@ -134,6 +143,8 @@
     /// Faults in progress, with the times at which they end.
     active_faults: Vec<(Instant, SoakFault)>,
     started_at: Instant,
+    /// Program of another build, if there is one.
+    other_program: Option<PathBuf>,
     /// Descriptions of all faults, with their start times and durations.
     history: Vec<String>,
 }
@@ -168,6 +179,7 @@
             copies: Vec::new(),
             active_faults: Vec::new(),
             started_at: Instant::now(),
+            other_program: std::env::var_os("SOAK_OTHER_PROGRAM").map(PathBuf::from),
             history: Vec::new(),
         }
     }
@@ -175,6 +187,7 @@
     /// Runs one seed and returns the violated guarantees, followed by the faults and the log paths.
     fn run(seed: u64) -> Vec<String> {
         let mut soak = Self::start(seed);
+        soak.begin_with_other_program();
         soak.fleet.configure(&[KEY, REVOKED_KEY]);
         let with_revoked_key = lookup_request("begin").replace(KEY, REVOKED_KEY);
         for node in &soak.fleet.nodes {
@@ -222,7 +235,7 @@
             7 => EndpointFault::WrongRequestId,
             _ => EndpointFault::ServerError,
         };
-        let fault = match self.random.random_range(0..26) {
+        let fault = match self.random.random_range(0..30) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
             2 => SoakFault::LinkBlocked(proxy, LinkDirection::ToClient),
@@ -239,6 +252,9 @@
             21 => SoakFault::Leaving(endpoint),
             22 | 23 => SoakFault::NodeCut(Admission::Refused),
             24 | 25 => SoakFault::NodeCut(Admission::Unanswered),
+            26 | 27 => SoakFault::LinkSilenced(STORE),
+            28 => SoakFault::LinkSilenced(endpoint),
+            29 => SoakFault::EndpointRemoved(endpoint),
             _ if lock(&self.log.revoked_at).is_none() => SoakFault::KeyRevoked,
             _ => SoakFault::StoreCompacted,
         };
@@ -268,6 +284,12 @@
                 self.ways_to(proxy).for_each(|way| set_blocked(way, true));
             },
             SoakFault::LinkReset(proxy) => self.ways_to(proxy).for_each(FaultProxy::reset_all),
+            SoakFault::LinkSilenced(proxy) => {
+                self.ways_to(proxy).for_each(FaultProxy::silence_open);
+            },
+            SoakFault::EndpointRemoved(endpoint) => {
+                self.fleet.store.remove(&format!("servers/{}", endpoint_id(endpoint)));
+            },
             SoakFault::BackoffRequested(endpoint) => {
                 self.endpoint(endpoint).set_retry_after(Some(NAMED_RETRY_AFTER))
             },
@@ -346,12 +368,17 @@
             SoakFault::Service(service, _) => {
                 self.set_service_fault(service, EndpointFault::None);
             },
-            SoakFault::EndpointDraining(endpoint) => self.announce(endpoint, "ready"),
+            SoakFault::EndpointDraining(endpoint) | SoakFault::EndpointRemoved(endpoint) => {
+                self.announce(endpoint, "ready");
+            },
             SoakFault::RateLimited(endpoint) => self.endpoint(endpoint).set_rate_limit(None),
             SoakFault::Signals(node, series) => {
                 match SIGNAL_SERIES[series] {
                     ["-STOP"] => self.fleet.nodes[node].signal("-CONT"),
-                    _ => self.fleet.nodes[node].restart(),
+                    _ => {
+                        let program = self.choose_program();
+                        self.fleet.nodes[node].restart_as(&program);
+                    },
                 }
                 self.log.nodes[node].set_disturbed(false);
             },
@@ -362,7 +389,29 @@
                 self.active_faults.push((end, SoakFault::StoreOutdated));
             },
             SoakFault::StoreOutdated => self.write_again(),
-            SoakFault::LinkReset(_) | SoakFault::StoreCompacted | SoakFault::KeyRevoked => {},
+            SoakFault::LinkReset(_)
+            | SoakFault::LinkSilenced(_)
+            | SoakFault::StoreCompacted
+            | SoakFault::KeyRevoked => {},
+        }
+    }
+
+    /// Returns the program that a node starts with: that of one of both builds, if there are two.
+    fn choose_program(&mut self) -> PathBuf {
+        match &self.other_program {
+            Some(program) if self.random.random_bool(0.5) => program.clone(),
+            _ => own_program().to_owned(),
+        }
+    }
+
+    /// Replaces all nodes by those of the other build, if there is one.
+    fn begin_with_other_program(&mut self) {
+        let Some(program) = self.other_program.clone() else {
+            return;
+        };
+        for node in &mut self.fleet.nodes {
+            node.restart_as(&program);
+            wait_until("a node of the other build is ready", || node.is_ready());
         }
     }
 
--- a/crates/apricotknot/tests/support/fault_proxy.rs
+++ b/crates/apricotknot/tests/support/fault_proxy.rs
@@ -1,5 +1,5 @@
-//! A TCP proxy on the loopback interface that delays, blocks or resets its connections, and that
-//! refuses new ones or leaves them without an answer.
+//! A TCP proxy on the loopback interface that delays, blocks, silences or resets its connections, and
+//! that refuses new ones or leaves them without an answer.
 
 use std::io;
 use std::io::ErrorKind;
@@ -80,6 +80,8 @@
     blocks_to_client: AtomicBool,
     /// Number of resets; a connection that was opened before the last one is reset.
     resets: AtomicU64,
+    /// Number of silences; a connection that was opened before the last one carries nothing more.
+    silences: AtomicU64,
     /// Number of connections that were accepted.
     accepted: AtomicUsize,
 }
@@ -163,6 +165,11 @@
         self.state.blocks(direction).store(is_blocked, Ordering::Relaxed);
     }
 
+    /// Makes all open connections silent for good, without a reset; new ones work.
+    pub(crate) fn silence_open(&self) {
+        self.state.silences.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Resets all open connections.
     pub(crate) fn reset_all(&self) {
         self.state.resets.fetch_add(1, Ordering::Relaxed);
@@ -214,9 +221,19 @@
     Some(stream)
 }
 
+/// Numbers of events when a connection was opened.
+#[derive(Clone, Copy)]
+struct LinkEvents {
+    resets: u64,
+    silences: u64,
+}
+
 /// Starts one relay thread for each direction of a connection.
 fn relay_both(client: &TcpStream, target: &TcpStream, state: &Arc<LinkState>) -> io::Result<()> {
-    let initial_resets = state.resets.load(Ordering::Relaxed);
+    let opened = LinkEvents {
+        resets: state.resets.load(Ordering::Relaxed),
+        silences: state.silences.load(Ordering::Relaxed),
+    };
     for direction in [LinkDirection::ToTarget, LinkDirection::ToClient] {
         let (from, to) = match direction {
             LinkDirection::ToTarget => (client.try_clone()?, target.try_clone()?),
@@ -224,7 +241,7 @@
         };
         from.set_read_timeout(Some(POLL_INTERVAL))?;
         let state = Arc::clone(state);
-        thread::spawn(move || relay(from, to, &state, direction, initial_resets));
+        thread::spawn(move || relay(from, to, &state, direction, opened));
     }
     Ok(())
 }
@@ -235,10 +252,11 @@
     mut to: TcpStream,
     state: &LinkState,
     direction: LinkDirection,
-    initial_resets: u64,
+    opened: LinkEvents,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
-    let is_reset = || state.resets.load(Ordering::Relaxed) != initial_resets;
+    let is_reset = || state.resets.load(Ordering::Relaxed) != opened.resets;
+    let is_silent = || state.silences.load(Ordering::Relaxed) != opened.silences;
     while !is_reset() {
         let count = match from.read(&mut buffer) {
             Ok(count) => count,
@@ -251,6 +269,13 @@
         while state.blocks(direction).load(Ordering::Relaxed) && !is_reset() {
             sleep(POLL_INTERVAL);
         }
+        if is_silent() {
+            // Neither end learns what the other one sends, or that it has closed.
+            if count == 0 {
+                return;
+            }
+            continue;
+        }
         if count == 0 {
             let _ = to.shutdown(Shutdown::Write);
             return;
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -225,14 +225,19 @@
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = dir.join("log.jsonl");
-        let child = start_process(&settings, &log);
+        let child = start_process(own_program(), &settings, &log);
         Node { child, caller_address, operations_address, settings, log }
     }
 }
 
-fn start_process(settings: &Path, log: &Path) -> Child {
+/// Returns the program of the build under test.
+pub(crate) fn own_program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_apricotknot"))
+}
+
+fn start_process(program: &Path, settings: &Path, log: &Path) -> Child {
     let output = File::options().create(true).append(true).open(log).expect("the log is created");
-    Command::new(env!("CARGO_BIN_EXE_apricotknot"))
+    Command::new(program)
         .arg("gateway")
         .arg(settings)
         .stdin(Stdio::null())
@@ -278,9 +283,14 @@
 
     /// Kills the process if it has not exited yet, and starts it again.
     pub(crate) fn restart(&mut self) {
+        self.restart_as(own_program());
+    }
+
+    /// Restarts the node as a process of `program`, which may be of another build.
+    pub(crate) fn restart_as(&mut self, program: &Path) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.child = start_process(&self.settings, &self.log);
+        self.child = start_process(program, &self.settings, &self.log);
     }
 
     /// Returns the largest memory that the process has used, in kilobytes.
