--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -18,6 +18,7 @@
 use apricotknot_gateway::control::ControlHandle;
 use apricotknot_gateway::control::ControlState;
 use apricotknot_gateway::control::FleetLimits;
+use apricotknot_gateway::control::NodeRecord;
 use apricotknot_gateway::peers::DatagramError;
 use apricotknot_gateway::peers::DatagramSeal;
 use apricotknot_gateway::peers::PeerSeals;
@@ -140,6 +141,32 @@
     assert_eq!(first.part_answers, snapshot().part_answers);
 }
 
+/// Datagram with [`snapshot`], signed with the secret `secret`, as build 30d2527 wrote it.
+const LANDED_DATAGRAM: &[u8] = include_bytes!("data/snapshot-30d2527.bin");
+
+/// Record of a node, as build 30d2527 wrote it.
+const LANDED_NODE_RECORD: &[u8] = include_bytes!("data/node-30d2527.json");
+
+// Guards against nodes that do not understand one another while builds are replaced, or back.
+#[test]
+fn snapshots_of_the_landed_build_are_read_and_it_reads_those_of_this_one() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    assert_eq!(seal.decode(LANDED_DATAGRAM), Ok(snapshot()));
+    let own = seal.encode(&snapshot()).expect("encoded datagram");
+    let (landed, own) =
+        [LANDED_DATAGRAM, &own].map(|bytes| bytes[..bytes.len() - TAG_BYTES].to_vec()).into();
+    assert!(own.starts_with(&landed), "what the landed build reads comes first and is the same");
+}
+
+#[test]
+fn node_record_of_the_landed_build_is_read_and_written_alike() {
+    let record: NodeRecord = serde_json::from_slice(LANDED_NODE_RECORD).expect("a record");
+    assert_eq!((record.incarnation, record.data_centre.as_deref()), (7, Some("north")));
+    assert_eq!(serde_json::to_vec(&record).expect("encoded record"), LANDED_NODE_RECORD);
+    let newer = br#"{"address":"127.0.0.1:1","incarnation":7,"field of a newer build":[1]}"#;
+    serde_json::from_slice::<NodeRecord>(newer).expect("unknown fields are skipped");
+}
+
 #[test]
 fn section_that_is_not_known_is_skipped() {
     let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
