--- a/crates/apricotknot/src/store/etcd.rs
+++ b/crates/apricotknot/src/store/etcd.rs
@@ -1,6 +1,7 @@
 //! Client of services that offer the etcd v3 JSON gateway.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::time::Duration;
 
 use apricotknot_core::types::RevisionNumber;
@@ -51,10 +52,11 @@
 
 /// Calls the JSON gateway over HTTP.
 ///
-/// When a call fails before its answer begins, or a call other than a watch times out, later calls
-/// use the next address.
+/// When a call fails before its answer begins, or times out, later calls use the next address and new
+/// connections: those that are open may all have gone silent.
 pub struct EtcdStore {
-    client: Client,
+    /// Client that holds the connections which later calls may use.
+    client: RefCell<Client>,
     addresses: Vec<String>,
     address_index: Cell<usize>,
     timeout: Duration,
@@ -70,10 +72,7 @@
         A: Into<String>,
     {
         Self {
-            client: Client::builder()
-                .connector(Connector::new().connector(NoDelayConnector::default()))
-                .disable_timeout()
-                .finish(),
+            client: RefCell::new(new_client()),
             addresses: addresses.into_iter().map(Into::into).collect(),
             address_index: Cell::new(0),
             timeout: DEFAULT_TIMEOUT,
@@ -97,7 +96,7 @@
         match actix_rt::time::timeout(limit, self.exchange(call, query)).await {
             Ok(answer) => answer,
             Err(_) => {
-                self.select_next_address();
+                self.abandon_connections();
                 Err(StoreError::TimedOut { limit })
             },
         }
@@ -128,15 +127,17 @@
         query: &Q,
     ) -> Result<Response, StoreError> {
         let url = format!("http://{address}/v3/{call}");
-        self.client.post(url).send_json(query).await.map_err(|error| {
-            self.select_next_address();
+        let client = self.client.borrow().clone();
+        client.post(url).send_json(query).await.map_err(|error| {
+            self.abandon_connections();
             send_error(address, &error)
         })
     }
 
-    /// Makes later calls use the next address.
-    fn select_next_address(&self) {
+    /// Makes later calls use the next address, and new connections.
+    fn abandon_connections(&self) {
         self.address_index.set(self.address_index.get().wrapping_add(1));
+        self.client.replace(new_client());
     }
 
     /// Returns the address that calls use now; empty if the client has none.
@@ -146,6 +147,11 @@
     }
 }
 
+fn new_client() -> Client {
+    let connector = Connector::new().connector(NoDelayConnector::default());
+    Client::builder().connector(connector).disable_timeout().finish()
+}
+
 /// Response whose body has not been read.
 type Response = ClientResponse;
 
@@ -264,9 +270,10 @@
         };
         let opening = self.send_request(&address, "watch", &query);
         let limit = self.timeout;
-        let response = actix_rt::time::timeout(limit, opening)
-            .await
-            .map_err(|_| StoreError::TimedOut { limit })??;
+        let response = actix_rt::time::timeout(limit, opening).await.map_err(|_| {
+            self.abandon_connections();
+            StoreError::TimedOut { limit }
+        })??;
         check_status(&address, response.status(), &[])?;
         Ok(EtcdWatch::new(address, from, Box::pin(response)))
     }
--- a/crates/apricotknot/tests/etcd_store.rs
+++ b/crates/apricotknot/tests/etcd_store.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[allow(clippy::expect_used, dead_code, reason = "shared with other tests")]
+#[path = "support/fault_proxy.rs"]
+mod fault_proxy;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -30,6 +34,8 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use fault_proxy::FaultProxy;
+
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 const ACCOUNT: &[u8] = br#"{"kind": "account", "name": "clerks", "spec": {}}"#;
@@ -115,6 +121,25 @@
     });
 }
 
+// Guards against one timeout after the other on connections that went silent at the same time.
+#[test]
+fn a_call_after_a_timeout_uses_no_older_connection() {
+    let server = KeyValueServer::start(LOOPBACK).unwrap();
+    let proxy = FaultProxy::start(server.address());
+    System::new().block_on(async {
+        let store = store_at(proxy.address()).timeout(Duration::from_millis(1_500));
+        proxy.set_delay(Duration::from_millis(50));
+        let calls = (0..4).map(|_| store.get("/k"));
+        for answer in futures::future::join_all(calls).await {
+            assert!(answer.unwrap().is_none());
+        }
+        assert_eq!(proxy.accepted(), 4, "each of the calls has a connection");
+        proxy.silence_open();
+        assert_eq!(store.get("/k").await.unwrap_err().kind(), StoreErrorKind::TimedOut);
+        assert!(store.get("/k").await.unwrap().is_none(), "a new connection works");
+    });
+}
+
 #[test]
 fn the_budget_refuses_before_anything_is_sent() {
     let server = KeyValueServer::start(LOOPBACK).unwrap();
