--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -8,8 +8,8 @@
 //! SOAK_SEEDS=100..150 cargo test --release --test soak by_hand -- --ignored --nocapture
 //! ```
 //!
-//! With `SOAK_OTHER_PROGRAM`, the path of a program of another build, nodes start as that build, and
-//! each restart of a node chooses one of both builds.
+//! `SOAK_NODES` sets the number of nodes, from two on. With `SOAK_OTHER_PROGRAM`, the path of a
+//! program of another build, nodes start as that build, and each restart chooses one of both.
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
@@ -84,8 +84,8 @@
 /// Time after the store came back from a copy until operators and endpoints write again.
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 
-/// Number of nodes.
-const NODE_COUNT: usize = 3;
+/// Number of nodes, unless `SOAK_NODES` names another one.
+const DEFAULT_NODE_COUNT: usize = 3;
 
 /// Series of signals that a node may receive.
 const SIGNAL_SERIES: [&[&str]; 5] =
@@ -153,7 +153,7 @@
     fn start(seed: u64) -> Self {
         let mut proxies = Vec::new();
         let name = format!("soak-{seed}");
-        let mut fleet = Fleet::start_with_proxies(&name, NODE_COUNT - 1, |address| {
+        let mut fleet = Fleet::start_with_proxies(&name, node_count() - 1, |address| {
             proxies.push(FaultProxy::start(address));
             proxies.last().map_or(address, FaultProxy::address)
         });
@@ -225,7 +225,7 @@
     /// Starts a random fault, unless it is a signal to a node that is signalled already.
     fn begin_fault(&mut self) {
         let (proxy, node) =
-            (self.random.random_range(0..5), self.random.random_range(0..NODE_COUNT));
+            (self.random.random_range(0..5), self.random.random_range(0..self.fleet.nodes.len()));
         let endpoint = self.random.random_range(0..4);
         let endpoint_fault = match self.random.random_range(0..9) {
             0..2 => EndpointFault::DisconnectAfter(2),
@@ -496,6 +496,11 @@
     }
 }
 
+fn node_count() -> usize {
+    let count = std::env::var("SOAK_NODES").ok().and_then(|text| text.parse().ok());
+    count.unwrap_or(DEFAULT_NODE_COUNT).max(2)
+}
+
 fn endpoint_id(index: usize) -> String {
     match index {
         0 | 1 => format!("engine-{}", index + 1),
