plain services: an answer that ends early is lost

Found while the bound of memory was put in: at the OpenAI interface an answer of a plain service that ended before its stated length, or before its last chunk, was passed on as complete; the HTTP client ends such a body like a whole one.

answer_of_a_plain_service_that_ends_early_is_lost fails on the code before (four ways of ending early, the first one taken for complete) and passes now: calls of plain services use the gateway's exchange, which knows the framing of a body. An answer without a length is read until the connection ends; before, it was empty. The time limit of a call covers the whole answer, as its description says.

--- a/crates/apricotknot/src/plain/adapter.rs
+++ b/crates/apricotknot/src/plain/adapter.rs
@@ -3,18 +3,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_http::ConnectionType;
+use actix_http::RequestHead;
+use actix_http::ResponseHead;
+use actix_http::ServiceConfig;
+use actix_http::Uri;
+use actix_http::header::HOST;
 use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
 use apricotknot_core::types::AttemptId;
 use apricotknot_gateway::endpoint::AnswerBudget;
 use apricotknot_gateway::endpoint::AnswerMemory;
-use awc::Client;
-use awc::ClientResponse;
-use awc::error::PayloadError;
-use awc::error::SendRequestError;
+use apricotknot_gateway::endpoint::EndpointExchange;
+use apricotknot_gateway::endpoint::EndpointRequest;
+use apricotknot_gateway::endpoint::ExchangeError;
 use bytes::Bytes;
 use bytes::BytesMut;
-use futures::Stream;
-use futures::StreamExt;
 
 use super::PlainAnswer;
 use super::PlainClient;
@@ -22,12 +27,8 @@
 use super::PlainErrorKind;
 use super::PlainRequest;
 use crate::transport::ATTEMPT_HEADER;
+use crate::transport::CONNECT_TIMEOUT;
 use crate::transport::EXECUTED_HEADER;
-use crate::transport::endpoint_client;
-use crate::transport::may_have_been_sent;
-
-/// Most open connections to plain services for each client.
-const MAX_CONNECTIONS: usize = 10_000;
 
 /// Largest body of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -38,83 +39,90 @@
 /// the answer to another call.
 #[derive(Clone)]
 pub struct HttpPlainClient {
-    client: Client,
+    http: ServiceConfig,
     answer_budget: Arc<AnswerBudget>,
 }
 
 impl HttpPlainClient {
-    /// Creates a client without open connections, whose answers count in `answer_budget`.
+    /// Creates a client whose answers count in `answer_budget`.
     pub fn new(answer_budget: Arc<AnswerBudget>) -> Self {
-        Self { client: endpoint_client(MAX_CONNECTIONS), answer_budget }
+        Self { http: ServiceConfig::default(), answer_budget }
     }
-}
 
-impl PlainClient for HttpPlainClient {
-    async fn call(&self, request: PlainRequest) -> Result<PlainAnswer, PlainError> {
-        let url = format!("http://{}{}", request.address, request.target);
-        let mut http_request =
-            self.client.request(request.method, url).no_decompress().force_close();
-        for (name, value) in &request.headers {
-            http_request = http_request.append_header((name.clone(), value.clone()));
+    /// Sends a call and reads the whole answer.
+    ///
+    /// A status of 412, 429 or 503 counts as a refusal only if the service states that it did no work.
+    async fn exchange(&self, request: PlainRequest) -> Result<PlainAnswer, PlainError> {
+        let request = endpoint_request(request)?;
+        let opening = EndpointExchange::open(&self.http, request);
+        let mut exchange = opening.await.map_err(|error| exchange_error(&error))?;
+        let head = exchange.read_head().await.map_err(|error| exchange_error(&error))?;
+        let ResponseHead { status, headers, .. } = head;
+        let (status, echoed) = (status.as_u16(), echoed_attempt(&headers)?);
+        if header_text(&headers, EXECUTED_HEADER) == Some("no") && matches!(status, 412 | 429 | 503)
+        {
+            let delay = header_text(&headers, "retry-after").and_then(|text| text.parse().ok());
+            return Err(PlainError::new(PlainErrorKind::Refused)
+                .echoed(echoed)
+                .retry_after(delay.map(Duration::from_secs)));
         }
-        let http_request = http_request
-            .insert_header((ATTEMPT_HEADER, format!("{:032x}", request.attempt)))
-            .timeout(request.timeout);
-        let response = http_request.send_body(request.body).await;
-        let response = response.map_err(|error| send_error(&error))?;
-        read_answer(response, AnswerMemory::new(Arc::clone(&self.answer_budget))).await
+        let body = self.read_body(exchange).await?;
+        Ok(PlainAnswer { echoed, status, headers, body })
     }
-}
 
-/// Reads the whole answer.
-///
-/// A status of 412, 429 or 503 counts as a refusal only if the service states that it did no work.
-async fn read_answer<S>(
-    response: ClientResponse<S>,
-    memory: AnswerMemory,
-) -> Result<PlainAnswer, PlainError>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
-{
-    let headers = response.headers().clone();
-    let status = response.status().as_u16();
-    let echoed = echoed_attempt(&headers)?;
-    if header_text(&headers, EXECUTED_HEADER) == Some("no") && matches!(status, 412 | 429 | 503) {
-        let delay = header_text(&headers, "retry-after").and_then(|text| text.parse().ok());
-        return Err(PlainError::new(PlainErrorKind::Refused)
-            .echoed(echoed)
-            .retry_after(delay.map(Duration::from_secs)));
+    /// Reads the body of an answer to its end, which its framing states.
+    async fn read_body(&self, mut exchange: EndpointExchange) -> Result<Bytes, PlainError> {
+        let mut memory = AnswerMemory::new(Arc::clone(&self.answer_budget));
+        let mut body = BytesMut::new();
+        while let Some(part) = exchange.read_part().await.map_err(|error| exchange_error(&error))? {
+            let held = body.len() + part.len();
+            if held > MAX_ANSWER_BYTES || memory.set_held(held).is_err() {
+                return Err(PlainError::new(PlainErrorKind::TooLarge));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
     }
-    let body = read_body(response, memory).await?;
-    Ok(PlainAnswer { echoed, status, headers, body })
 }
 
-async fn read_body<S>(
-    mut response: ClientResponse<S>,
-    mut memory: AnswerMemory,
-) -> Result<Bytes, PlainError>
-where
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
-{
-    let mut body = BytesMut::new();
-    while let Some(part) = response.next().await {
-        let part = part.map_err(|_| PlainError::new(PlainErrorKind::Lost))?;
-        let held = body.len() + part.len();
-        if held > MAX_ANSWER_BYTES || memory.set_held(held).is_err() {
-            return Err(PlainError::new(PlainErrorKind::TooLarge));
-        }
-        body.extend_from_slice(&part);
+impl PlainClient for HttpPlainClient {
+    async fn call(&self, request: PlainRequest) -> Result<PlainAnswer, PlainError> {
+        let timeout = request.timeout;
+        let answer = tokio::time::timeout(timeout, self.exchange(request)).await;
+        answer.unwrap_or_else(|_| Err(PlainError::new(PlainErrorKind::Lost)))
     }
-    Ok(body.freeze())
 }
 
-/// Returns the error for a failed send, by whether any bytes may have been sent.
-fn send_error(error: &SendRequestError) -> PlainError {
-    let kind = match may_have_been_sent(error) {
-        true => PlainErrorKind::Lost,
-        false => PlainErrorKind::NotSent,
-    };
-    PlainError::new(kind)
+/// Returns the request as it is sent.
+///
+/// # Errors
+///
+/// Returns an error if the target cannot be one of HTTP, so nothing is sent.
+fn endpoint_request(request: PlainRequest) -> Result<EndpointRequest, PlainError> {
+    let unsent = || PlainError::new(PlainErrorKind::NotSent);
+    let header = |text: String| HeaderValue::try_from(text).map_err(|_| unsent());
+    let mut head = RequestHead::default();
+    head.method = request.method;
+    head.uri = Uri::try_from(&*request.target).map_err(|_| unsent())?;
+    head.headers = request.headers;
+    head.headers.insert(HOST, header(request.address.to_string())?);
+    let attempt = header(format!("{:032x}", request.attempt))?;
+    head.headers.insert(HeaderName::from_static(ATTEMPT_HEADER), attempt);
+    head.set_connection_type(ConnectionType::Close);
+    Ok(EndpointRequest {
+        address: request.address,
+        head,
+        body: request.body,
+        connect_timeout: CONNECT_TIMEOUT,
+    })
+}
+
+/// Returns the error for a failed exchange, by whether any bytes may have been sent.
+fn exchange_error(error: &ExchangeError) -> PlainError {
+    PlainError::new(match error.is_unsent() {
+        true => PlainErrorKind::NotSent,
+        false => PlainErrorKind::Lost,
+    })
 }
 
 /// Returns the attempt id that the service echoes, if it sends one.
--- a/crates/apricotknot/src/transport/client.rs
+++ b/crates/apricotknot/src/transport/client.rs
@@ -10,7 +10,7 @@
 use super::NoDelayConnector;
 
 /// Time limit for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Header that carries the id of the attempt.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
--- a/crates/apricotknot/tests/stale_refusals.rs
+++ b/crates/apricotknot/tests/stale_refusals.rs
@@ -117,6 +117,40 @@
     }
 }
 
+/// Starts an endpoint that answers one request with `answer`, and then closes the connection.
+async fn start_answering(answer: &'static str) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    actix_rt::spawn(async move {
+        if let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4_096]).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    Ok(address)
+}
+
+// Guards against an answer that ends early and looks complete.
+#[actix_rt::test]
+async fn answer_of_a_plain_service_that_ends_early_is_lost() -> std::io::Result<()> {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nten bytes.",
+        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\nten bytes.\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\nten",
+    ] {
+        let address = start_answering(answer).await?;
+        let client = HttpPlainClient::new(answer_budget());
+        let outcome = client.call(plain_request(address, RUN)).await;
+        assert_eq!(
+            outcome.map_err(|error| error.kind()).err(),
+            Some(PlainErrorKind::Lost),
+            "{answer}"
+        );
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn second_copy_of_a_refusal_does_not_refuse_the_next_prompt() {
     for echoed in [Some(REFUSED), None] {
