control: log lines on what is kept after an outage, and on an overdue watch

Now they say when a watch is overdue, how many calls failed before the service answered again, and which endpoints are kept without a record and which are not back in time.

--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -99,6 +99,8 @@
     Skipped(TranslationError),
     /// The changes cannot be read one by one; all keys are read instead.
     Reloading(StoreError),
+    /// The answer to a watch is overdue; the service is asked on a new connection too.
+    Overdue,
     /// A call of the service failed.
     Unreachable(StoreError),
 }
@@ -245,6 +247,7 @@
         if let Ok(answer) = timeout(WATCH_TIMEOUT + WATCH_OVERDUE, &mut watch).await {
             return answer;
         }
+        self.send(FeedEvent::Overdue).await;
         self.store.abandon_connections();
         tokio::select! {
             answer = &mut watch => answer,
--- a/crates/apricotknot-gateway/src/control/missing_endpoints.rs
+++ b/crates/apricotknot-gateway/src/control/missing_endpoints.rs
@@ -10,6 +10,15 @@
 /// Time after an outage of the service within which endpoints announce themselves again.
 const REANNOUNCE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Reports a decision on an endpoint without a record, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MissingNotice {
+    /// The endpoint is kept, as its record may have expired in the outage.
+    Kept(EndpointId),
+    /// The endpoint is removed, as it has not announced itself again in time.
+    NotBack(EndpointId),
+}
+
 /// Keeps endpoints without a record until they had the time to announce themselves again.
 #[derive(Debug, Default)]
 pub(super) struct MissingEndpoints {
@@ -21,6 +30,8 @@
     ///
     /// These records cannot expire within the grace time, so one that goes was removed.
     announced: BTreeSet<EndpointId>,
+    /// Notices that were not taken yet.
+    notices: Vec<MissingNotice>,
 }
 
 impl MissingEndpoints {
@@ -56,14 +67,24 @@
         if self.announced.contains(endpoint) {
             return false;
         }
-        self.kept_until.entry(EndpointId::clone(endpoint)).or_insert(end);
+        self.kept_until.entry(EndpointId::clone(endpoint)).or_insert_with(|| {
+            self.notices.push(MissingNotice::Kept(EndpointId::clone(endpoint)));
+            end
+        });
         true
     }
 
     /// Takes the endpoints that have not announced themselves again in time.
     pub(super) fn take_expired(&mut self, now: MonotonicTime) -> Vec<EndpointId> {
         let expired = self.kept_until.extract_if(.., |_, end| *end <= now);
-        expired.map(|(endpoint, _)| endpoint).collect()
+        let expired: Vec<EndpointId> = expired.map(|(endpoint, _)| endpoint).collect();
+        self.notices.extend(expired.iter().cloned().map(MissingNotice::NotBack));
+        expired
+    }
+
+    /// Takes the notices since the last call.
+    pub(super) fn take_notices(&mut self) -> Vec<MissingNotice> {
+        std::mem::take(&mut self.notices)
     }
 }
 
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -32,6 +32,7 @@
 pub use feed::StateFeed;
 pub use handle::AttemptGuard;
 pub use handle::ControlHandle;
+pub use missing_endpoints::MissingNotice;
 pub use registry::NodeRecord;
 pub use registry::NodeRegistry;
 pub use registry::RegistryChange;
--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -53,6 +53,13 @@
                 info!(self.logger, "control: reading all keys again"; "error" => %error);
                 return;
             },
+            FeedEvent::Overdue => {
+                info!(
+                    self.logger, "control: watch is overdue; asking on a new connection too";
+                    "knowledge_ms" => millis(self.shared.configuration_age(now))
+                );
+                return;
+            },
             FeedEvent::Unreachable(error) => {
                 if self.state.record_store_unreachable(now) {
                     let age = self.shared.configuration_age(now);
@@ -102,6 +109,7 @@
             info!(
                 self.logger, "control: key-value service reachable again";
                 "outage_ms" => millis(now.saturating_sub(since)),
+                "failed_calls" => self.state.failed_store_calls(),
                 "knowledge_ms" => millis(self.shared.configuration_age(now))
             );
         }
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -33,6 +33,7 @@
 use super::FeedEvent;
 use super::FleetLimits;
 use super::HoldNotice;
+use super::MissingNotice;
 use super::NodeRecord;
 use super::SharedState;
 use super::StateFeed;
@@ -242,6 +243,7 @@
             self.publish_path_health();
             self.log_endpoint_notices();
             self.log_hold_notices();
+            self.log_missing_notices();
             self.keep_lost_configuration();
             self.peers.send_due(&mut self.state, self.clock.now());
             self.record_load(kind, woken);
@@ -369,6 +371,23 @@
         }
     }
 
+    /// Logs the endpoints that are kept without a record after an outage, and those that are not back.
+    fn log_missing_notices(&mut self) {
+        for notice in self.state.take_missing_notices() {
+            match notice {
+                MissingNotice::Kept(endpoint) => info!(
+                    self.logger,
+                    "control: record may have expired in the outage; keeping the endpoint";
+                    "endpoint" => &*endpoint
+                ),
+                MissingNotice::NotBack(endpoint) => info!(
+                    self.logger, "control: endpoint has not announced itself again; removing it";
+                    "endpoint" => &*endpoint
+                ),
+            }
+        }
+    }
+
     /// Records the load of the loop, and logs an interval in which the thread was overloaded.
     fn record_load(&mut self, kind: InputKind, woken: MonotonicTime) {
         let Some(report) = self.load.record(kind, woken, self.clock.now()) else {
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -30,6 +30,7 @@
 use super::ControlCommand;
 use super::ControlHandle;
 use super::HoldNotice;
+use super::MissingNotice;
 use super::NodeRegistry;
 use super::QuarantineNotice;
 use super::configuration_versions::ConfigurationVersions;
@@ -247,6 +248,11 @@
         self.restore_hold.take_notices()
     }
 
+    /// Takes the notices of endpoints without a record since the last call.
+    pub fn take_missing_notices(&mut self) -> Vec<MissingNotice> {
+        self.missing_endpoints.take_notices()
+    }
+
     /// Returns whether there are changes to tell other nodes since the last call.
     pub fn take_unsent_changes(&mut self) -> bool {
         std::mem::take(&mut self.has_unsent_changes)
@@ -336,6 +342,11 @@
         self.store_contact.unreachable_since()
     }
 
+    /// Returns the number of failed calls of the key-value service since its last answer.
+    pub fn failed_store_calls(&self) -> u32 {
+        self.store_contact.failures()
+    }
+
     /// Returns the number of times that a request was weighed against the fleet.
     pub fn placement_count(&self) -> u64 {
         self.placement_count
--- a/crates/apricotknot-gateway/src/control/store_contact.rs
+++ b/crates/apricotknot-gateway/src/control/store_contact.rs
@@ -49,6 +49,11 @@
         self.unreachable_since
     }
 
+    /// Returns the number of failed calls since the last answer.
+    pub(super) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Returns whether the failed calls show an outage of the service, or of the way to it.
     pub(super) fn is_outage(&self) -> bool {
         self.failures >= OUTAGE_FAILURES
