--- a/crates/apricotknot/tests/endless_answers.rs
+++ b/crates/apricotknot/tests/endless_answers.rs
@@ -248,6 +248,11 @@
     }
 }
 
+/// Returns a request to one of both services.
+fn request_for(service: &str, id: &str) -> String {
+    if service == "desk" { lookup_request(id) } else { stream_request(id, 1_000) }
+}
+
 /// Checks that a node keeps serving, and keeps within the smallest VM, while many calls of one
 /// service get answers by `script` and other calls go to a sound service.
 fn check_many_endless(name: &str, service: &str, script: AnswerScript) {
@@ -259,10 +264,8 @@
         let lines = fleet.nodes[0].log_lines();
         lines.iter().any(|line| line["endpoint"] == "faulty-3")
     });
-    let (faulty, sound): (fn(&str) -> String, fn(&str) -> String) = match service {
-        "desk" => (lookup_request, |id| stream_request(id, 1_000)),
-        _ => (|id| stream_request(id, 1_000), lookup_request),
-    };
+    let faulty = |id: &str| request_for(service, id);
+    let sound_service = if service == "desk" { "model" } else { "desk" };
     std::thread::scope(|scope| {
         let fleet = &fleet;
         for index in 0..ENDLESS_CALLS {
@@ -279,7 +282,8 @@
         }
         for index in 0..20 {
             sleep(Duration::from_millis(150));
-            let answer = fleet.nodes[0].send(&sound(&format!("sound-{index}")));
+            let answer =
+                fleet.nodes[0].send(&request_for(sound_service, &format!("sound-{index}")));
             assert_eq!((answer.status, answer.is_complete), (200, true), "{name}: {answer:?}");
         }
     });
--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -21,6 +21,8 @@
 mod gateway_fleet;
 #[path = "support/soak_callers.rs"]
 mod soak_callers;
+#[path = "support/soak_fault.rs"]
+mod soak_fault;
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -53,6 +55,10 @@
 use soak_callers::SoakLog;
 use soak_callers::lock;
 use soak_callers::start_callers;
+use soak_fault::SIGNAL_SERIES;
+use soak_fault::SoakFault;
+use soak_fault::endpoint_id;
+use soak_fault::set_blocked;
 
 /// Seeds that every test run uses. A seed that fails is added here, with the cause of the failure.
 const CI_SEEDS: [u64; 2] = [1, 2];
@@ -87,48 +93,9 @@
 /// Number of nodes, unless `SOAK_NODES` names another one.
 const DEFAULT_NODE_COUNT: usize = 3;
 
-/// Series of signals that a node may receive.
-const SIGNAL_SERIES: [&[&str]; 5] =
-    [&["-STOP"], &["-KILL"], &["-TERM"], &["-STOP", "-KILL"], &["-TERM", "-HUP", "-KILL"]];
-
 /// Maximum number of runs of a repeatable request.
 const MAX_REPEATABLE_RUNS: usize = 2;
 
-/// A fault with the index of the proxy, endpoint, service or node that it affects.
-#[derive(Clone, Copy, Debug)]
-enum SoakFault {
-    /// Delay of both directions, in milliseconds.
-    LinkDelay(usize, u64),
-    LinkBlocked(usize, LinkDirection),
-    LinkBlockedBothWays(usize),
-    LinkReset(usize),
-    /// Open connections carry nothing more; new ones work.
-    LinkSilenced(usize),
-    /// The record of the endpoint is removed, and written again at the end.
-    EndpointRemoved(usize),
-    Endpoint(usize, EndpointFault),
-    /// The same fault at both endpoints of a service.
-    Service(usize, EndpointFault),
-    EndpointDraining(usize),
-    /// The endpoint names [`NAMED_RATE_LIMIT`] in its answers.
-    RateLimited(usize),
-    /// The endpoint refuses requests and asks for [`NAMED_RETRY_AFTER`].
-    BackoffRequested(usize),
-    /// The endpoint says in its answers that it leaves; it starts again at the end.
-    Leaving(usize),
-    /// The last node loses its links to all endpoints, which treat new connections as given.
-    NodeCut(Admission),
-    /// Node, and index into [`SIGNAL_SERIES`].
-    Signals(usize, usize),
-    StoreDown,
-    StoreCompacted,
-    /// The store comes back from the copy with this index, taken when the fault begins.
-    StoreRestored(usize),
-    /// Operators and endpoints have not written again what the store lost.
-    StoreOutdated,
-    KeyRevoked,
-}
-
 /// Runs one seed.
 struct Soak {
     fleet: Fleet,
@@ -501,18 +468,6 @@
     count.unwrap_or(DEFAULT_NODE_COUNT).max(2)
 }
 
-fn endpoint_id(index: usize) -> String {
-    match index {
-        0 | 1 => format!("engine-{}", index + 1),
-        _ => format!("desk-{}", index - 1),
-    }
-}
-
-fn set_blocked(way: &FaultProxy, is_blocked: bool) {
-    way.set_blocked(LinkDirection::ToTarget, is_blocked);
-    way.set_blocked(LinkDirection::ToClient, is_blocked);
-}
-
 /// Runs all seeds, prints the violations and fails if there are any.
 fn run_seeds(seeds: impl Iterator<Item = u64>) {
     let mut failed = Vec::new();
