--- /dev/null
+++ b/crates/apricotknot-core/src/duty/mod.rs
@@ -0,0 +1,5 @@
+//! Duties that one node of the fleet performs at a time.
+
+mod duty_kind;
+
+pub use duty_kind::DutyKind;
--- a/crates/apricotknot-core/src/lib.rs
+++ b/crates/apricotknot-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`types`] defines the identifiers and quantities that the other modules share.
 
 pub mod admission;
+pub mod duty;
 pub mod fleet;
 pub mod ledger;
 pub mod membership;
@@ -16,4 +17,6 @@
 pub mod quarantine;
 pub mod resources;
 pub mod routing;
+pub mod scaling;
 pub mod types;
+pub mod usage;
--- a/crates/apricotknot-core/src/routing/desired_state.rs
+++ b/crates/apricotknot-core/src/routing/desired_state.rs
@@ -7,6 +7,7 @@
 use super::KeyPolicy;
 use super::RouteTable;
 use crate::fleet::EngineModel;
+use crate::scaling::ScalingLimits;
 use crate::types::AccountId;
 use crate::types::RegionId;
 use crate::types::ServiceId;
@@ -44,6 +45,8 @@
     pub cold_rate: f64,
     /// Performance model of the endpoints; `None` if they are not model engines.
     pub engine: Option<EngineModel>,
+    /// Limits of the number of endpoints; `None` if the gateway does not order them.
+    pub scaling: Option<ScalingLimits>,
 }
 
 /// Holds one version of the configuration, as operators wrote it.
--- a/crates/apricotknot-core/src/types/ids.rs
+++ b/crates/apricotknot-core/src/types/ids.rs
@@ -54,3 +54,6 @@
 
 /// Counts tokens of prompt, answer or key-value cache.
 pub type TokenCount = u64;
+
+/// Numbers the windows of time for which usage is reported; each follows the one before.
+pub type WindowNumber = u64;
--- a/crates/apricotknot-core/src/types/mod.rs
+++ b/crates/apricotknot-core/src/types/mod.rs
@@ -26,6 +26,7 @@
 pub use ids::RevisionNumber;
 pub use ids::ServiceId;
 pub use ids::TokenCount;
+pub use ids::WindowNumber;
 pub use length::LengthClass;
 pub use request::PromptFingerprint;
 pub use request::RequestProfile;
--- a/crates/apricotknot-core/tests/fleet_locality.rs
+++ b/crates/apricotknot-core/tests/fleet_locality.rs
@@ -31,8 +31,7 @@
         attention_ms: 0.1,
         steps_per_event: 40,
     };
-    let profile =
-        ServiceProfile { cold_time: Duration::ZERO, cold_rate: 0.0, engine: Some(engine) };
+    let profile = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
     fleet.set_services(BTreeMap::from([("model".into(), profile)]));
     for index in 0..12 {
         fleet.set_endpoint(EndpointEntry {
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -107,6 +107,7 @@
         cold_time: Duration::from_secs(3),
         cold_rate: 26.0,
         engine: Some(model()),
+        scaling: None,
     };
     fleet_state.set_services(BTreeMap::from([("model".into(), profile)]));
     for index in 0..engines {
--- a/crates/apricotknot-gateway/src/lib.rs
+++ b/crates/apricotknot-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod control;
 pub mod driver;
+pub mod duties;
 pub mod endpoint;
 pub mod peers;
 pub mod protocol;
--- a/crates/apricotknot-gateway/tests/support/test_node.rs
+++ b/crates/apricotknot-gateway/tests/support/test_node.rs
@@ -108,8 +108,7 @@
         attention_ms: 0.1,
         steps_per_event: 40,
     };
-    let profile =
-        ServiceProfile { cold_time: Duration::ZERO, cold_rate: 0.0, engine: Some(engine) };
+    let profile = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
     let services = BTreeMap::from([("model".into(), profile)]);
     DesiredState { version, services, ..DesiredState::default() }
 }
