duties: settings, client of the API, tasks of usage and scaling joined to the control thread

The parts for usage and scaling need the permit, the API and a place on the control thread. Change: section [duties] of the settings (absent: no duties) and its template section, PlatformDutyApi (POST /usage and /scale, a connection a call, 1 s), PermittedApi (no call without term, none under a number that was refused), DutyRoster with empty tasks UsageReporter and ScalingController, DutyTools, ScalingInputs.

--- a/crates/apricotknot-core/src/duty/duty_kind.rs
+++ b/crates/apricotknot-core/src/duty/duty_kind.rs
@@ -1,5 +1,11 @@
 //! Kinds of duties.
 
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use thiserror::Error;
+
 /// Names one duty; each has a holder of its own.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum DutyKind {
@@ -21,3 +27,26 @@
         }
     }
 }
+
+impl fmt::Display for DutyKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+impl FromStr for DutyKind {
+    type Err = UnknownDuty;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|kind| kind.name() == name);
+        found.ok_or_else(|| UnknownDuty { name: name.into() })
+    }
+}
+
+/// Reports a name that no duty has.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("duty `{name}` is unknown; allowed: autoscale, usage_report")]
+pub struct UnknownDuty {
+    /// Name that was given.
+    pub name: Arc<str>,
+}
--- a/crates/apricotknot-core/src/duty/mod.rs
+++ b/crates/apricotknot-core/src/duty/mod.rs
@@ -3,3 +3,4 @@
 mod duty_kind;
 
 pub use duty_kind::DutyKind;
+pub use duty_kind::UnknownDuty;
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -48,6 +48,9 @@
 use super::registry::part_key;
 use crate::clock::BootClock;
 use crate::clock::millis;
+use crate::duties::DutyApi;
+use crate::duties::DutyParts;
+use crate::duties::DutyRoster;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -67,7 +70,7 @@
 const COMMAND_BATCH: usize = 64;
 
 /// Holds the settings and the dependencies of the control thread.
-pub struct ControlParts<S, T> {
+pub struct ControlParts<S, T, A> {
     /// Name of the node.
     pub node: NodeId,
     /// Incarnation of the node.
@@ -86,6 +89,8 @@
     pub store: S,
     /// Translator of the platform's records.
     pub translator: T,
+    /// Duties of the fleet, if there are any.
+    pub duties: Option<DutyParts<A>>,
     /// State that is published to the traffic threads.
     pub shared: Arc<SharedState>,
     /// Logger of the control thread.
@@ -99,11 +104,12 @@
 /// # Errors
 ///
 /// Returns an error if the thread cannot be started.
-pub fn start_control<S, T, F>(parts: F) -> io::Result<(ControlHandle, thread::JoinHandle<()>)>
+pub fn start_control<S, T, A, F>(parts: F) -> io::Result<(ControlHandle, thread::JoinHandle<()>)>
 where
     S: MetadataStore,
     T: RecordTranslator,
-    F: FnOnce() -> ControlParts<S, T> + Send + 'static,
+    A: DutyApi,
+    F: FnOnce() -> ControlParts<S, T, A> + Send + 'static,
 {
     let (sender, commands) = mpsc::unbounded_channel();
     let handle = ControlHandle::new(sender);
@@ -141,11 +147,12 @@
     load: LoopLoad,
     /// Sends records to the task that writes them to the key-value service.
     keeper: mpsc::Sender<KeptRecord>,
+    duties: Option<DutyRoster>,
 }
 
 impl ControlRunner {
-    async fn start<S: MetadataStore, T: RecordTranslator>(
-        parts: ControlParts<S, T>,
+    async fn start<S: MetadataStore, T: RecordTranslator, A: DutyApi>(
+        parts: ControlParts<S, T, A>,
         handle: ControlHandle,
         commands: mpsc::UnboundedReceiver<ControlCommand>,
     ) -> io::Result<Self> {
@@ -180,6 +187,9 @@
         let (keeper, kept_records) = mpsc::channel(KEEPER_CAPACITY);
         let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
         actix_rt::spawn(record_keeper.run());
+        let duties = parts.duties.map(|duties| {
+            DutyRoster::start(duties, &parts.node, &parts.store, &parts.shared, &logger)
+        });
         let announcer = NodeAnnouncer::new(
             parts.store,
             Arc::clone(&parts.node),
@@ -204,6 +214,7 @@
             logger: parts.logger,
             load: LoopLoad::default(),
             keeper,
+            duties,
         })
     }
 
@@ -245,11 +256,18 @@
             self.log_hold_notices();
             self.log_missing_notices();
             self.keep_lost_configuration();
+            self.tick_duties();
             self.peers.send_due(&mut self.state, self.clock.now());
             self.record_load(kind, woken);
         }
     }
 
+    fn tick_duties(&mut self) {
+        if let Some(duties) = &mut self.duties {
+            duties.tick(&self.state, self.clock.now());
+        }
+    }
+
     /// Logs newly quarantined prompt parts, and records those that this node found in the key-value
     /// service.
     fn publish_notices(&mut self) {
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -4,6 +4,7 @@
 
 mod paths;
 mod placements;
+mod scaling;
 mod store_updates;
 
 use std::collections::BTreeMap;
--- a/crates/apricotknot-gateway/src/duties/duty_api_error.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_api_error.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use apricotknot_core::types::FencingNumber;
 use thiserror::Error;
 
 /// Reports why a call of a duty failed.
@@ -17,6 +18,12 @@
         /// What the connection reported.
         reason: String,
     },
+    /// This node may no longer act under the fencing number; nothing was sent.
+    #[error("the term with fencing number {fence} is over; nothing was sent")]
+    TermOver {
+        /// Fencing number of the call.
+        fence: FencingNumber,
+    },
     /// The API answered with an unexpected status.
     #[error("the duty API at {address} answered with status {status}: {reason}")]
     Rejected {
--- a/crates/apricotknot-gateway/src/duties/mod.rs
+++ b/crates/apricotknot-gateway/src/duties/mod.rs
@@ -3,7 +3,13 @@
 mod duty_api;
 mod duty_api_error;
 mod duty_permit;
+mod duty_roster;
 mod duty_settings;
+mod duty_tools;
+mod permitted_api;
+mod scaling_controller;
+mod scaling_inputs;
+mod usage_reporter;
 
 pub use duty_api::DutyAnswer;
 pub use duty_api::DutyApi;
@@ -11,4 +17,11 @@
 pub use duty_api_error::DutyApiError;
 pub use duty_permit::DutyPermit;
 pub use duty_permit::DutyTerm;
+pub use duty_roster::DutyParts;
+pub(crate) use duty_roster::DutyRoster;
 pub use duty_settings::DutySettings;
+pub use duty_tools::DutyTools;
+pub use permitted_api::PermittedApi;
+pub use scaling_controller::ScalingController;
+pub use scaling_inputs::ScalingInputs;
+pub use usage_reporter::UsageReporter;
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -26,6 +26,8 @@
 use crate::control::start_control;
 use crate::driver::CallerSession;
 use crate::driver::TrafficContext;
+use crate::duties::DutyApi;
+use crate::duties::DutyParts;
 use crate::endpoint::AnswerBudget;
 use crate::operations::OperationsSession;
 use crate::protocol::CallProtocol;
@@ -65,23 +67,26 @@
 impl<P: CallProtocol> GatewayNode<P> {
     /// Starts the control thread and listens for callers and operators.
     ///
-    /// Must be called within an actix system. `store` creates the client of the key-value service
-    /// from its address, and is called on the control thread.
+    /// Must be called within an actix system. `store` and `duty_api` create the clients of the
+    /// key-value service and of the API for duties from their addresses, on the control thread.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound or the control thread cannot be started.
-    pub async fn start<S, T, F>(
+    pub async fn start<S, T, A, F, G>(
         settings: GatewaySettings,
         protocol: P,
         translator: T,
         store: F,
+        duty_api: G,
         logger: Logger,
     ) -> io::Result<Self>
     where
         S: MetadataStore,
         T: RecordTranslator + Send,
+        A: DutyApi,
         F: FnOnce(SocketAddr) -> S + Send + 'static,
+        G: FnOnce(SocketAddr) -> A + Send + 'static,
     {
         let shared = Arc::new(SharedState::new(settings.staleness));
         let callers = listen(settings.caller_address)?;
@@ -108,6 +113,9 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
+                duties: settings
+                    .duties
+                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
                 shared,
                 logger,
             }
--- a/crates/apricotknot-gateway/src/gateway_settings.rs
+++ b/crates/apricotknot-gateway/src/gateway_settings.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::types::RegionId;
 
 use crate::control::StalenessLimits;
+use crate::duties::DutySettings;
 
 /// Holds the settings that a gateway node reads at its start.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,4 +40,6 @@
     pub stop_timeout: Duration,
     /// Limit of the retries that all nodes together send.
     pub retries: RetryPolicy,
+    /// Duties that one node at a time performs for the fleet, if there are any.
+    pub duties: Option<DutySettings>,
 }
--- a/crates/apricotknot/src/gateway.rs
+++ b/crates/apricotknot/src/gateway.rs
@@ -7,6 +7,7 @@
 use apricotknot::settings::GatewayNodeSettings;
 use apricotknot::telemetry::build_logger;
 use apricotknot_gateway::GatewayNode;
+use apricotknot_platform::duty_api::PlatformDutyApi;
 use apricotknot_platform::headers::HeaderProtocol;
 use apricotknot_platform::records::PlatformTranslator;
 use apricotknot_platform::store::PlatformStore;
@@ -51,6 +52,7 @@
         HeaderProtocol,
         PlatformTranslator,
         PlatformStore::new,
+        PlatformDutyApi::new,
         logger.clone(),
     );
     let node = match started.await {
--- a/crates/apricotknot/src/settings/gateway_node_settings.rs
+++ b/crates/apricotknot/src/settings/gateway_node_settings.rs
@@ -3,9 +3,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use apricotknot_core::duty::DutyKind;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_gateway::GatewaySettings;
 use apricotknot_gateway::control::StalenessLimits;
+use apricotknot_gateway::duties::DutySettings;
 use ini::Ini;
 
 use super::LogSettings;
@@ -18,7 +20,8 @@
 use super::section::read_file;
 
 /// Sections of a gateway's settings file.
-const SECTIONS: [&str; 6] = ["node", "gateway", "store", "retries", "data_centres", "log"];
+const SECTIONS: [&str; 7] =
+    ["node", "gateway", "store", "retries", "duties", "data_centres", "log"];
 
 /// Part of `revoke_ms` that is reserved for requests in progress.
 ///
@@ -106,6 +109,7 @@
         reserved_idle_time: section.milliseconds("reserved_idle_ms", 9_000, 1_000..=600_000)?,
         stop_timeout: seconds(&mut section, "stop_s", 8.0)?,
         retries: read_retries(SectionReader::new(path, ini, "retries"))?,
+        duties: read_duties(SectionReader::new(path, ini, "duties"))?,
     };
     section.finish()?;
     Ok(gateway)
@@ -121,6 +125,26 @@
     Ok(retries)
 }
 
+/// Reads the duties; there are none if the section is absent or names none.
+fn read_duties(mut section: SectionReader<'_>) -> Result<Option<DutySettings>, SettingsError> {
+    if !section.is_present() {
+        return Ok(None);
+    }
+    let mut kinds = section.list("kinds", &DutyKind::ALL.map(DutyKind::name).join(", "))?;
+    kinds.sort_unstable();
+    kinds.dedup();
+    let duties = DutySettings {
+        address: section.address("address")?,
+        lease_time: section.milliseconds("lease_ms", 3_000, 1_500..=600_000)?,
+        usage_window: seconds(&mut section, "usage_window_s", 5.0)?,
+        usage_due: seconds(&mut section, "usage_due_s", 10.0)?,
+        calls_per_second: section.number("calls_per_s", 10.0, 0.1..=100_000.0)?,
+        kinds,
+    };
+    section.finish()?;
+    Ok(Some(duties).filter(|duties| !duties.kinds.is_empty()))
+}
+
 /// Reads a duration in seconds, from half a second to an hour, or the default if the key is absent.
 fn seconds(
     section: &mut SectionReader<'_>,
--- a/crates/apricotknot/src/settings/section.rs
+++ b/crates/apricotknot/src/settings/section.rs
@@ -86,6 +86,11 @@
         Self { file, name, properties: ini.section(Some(name)), known_keys: BTreeSet::new() }
     }
 
+    /// Returns whether the file has the section.
+    pub(super) fn is_present(&self) -> bool {
+        self.properties.is_some()
+    }
+
     /// Reads a text that must be present and not empty.
     pub(super) fn required(
         &mut self,
--- a/crates/apricotknot/tests/gateway_settings.rs
+++ b/crates/apricotknot/tests/gateway_settings.rs
@@ -7,6 +7,7 @@
 
 use apricotknot::settings::GatewayNodeSettings;
 use apricotknot::settings::SettingsErrorKind;
+use apricotknot_core::duty::DutyKind;
 
 /// A settings file without errors.
 const VALID_SETTINGS: &str = "[node]\nname = node-1\ndata_centre = north\n\n[gateway]\n\
@@ -54,11 +55,61 @@
     }
 }
 
-/// Replaces the placeholders of the template as the platform does, with example values.
+/// The section that switches duties on.
+const DUTIES: &str = "\n[duties]\naddress = 127.0.0.1:8424\nkinds = usage_report, autoscale\n\
+    lease_ms = 4000\nusage_window_s = 5\nusage_due_s = 10\ncalls_per_s = 50.0\n";
+
 #[test]
-fn the_deploy_template_renders_to_a_valid_file() {
+fn duties_are_read_from_a_section_that_may_be_absent() {
+    assert_eq!(parse(VALID_SETTINGS).expect("sound settings").gateway.duties, None);
+    let file = parse(&format!("{VALID_SETTINGS}{DUTIES}")).expect("sound settings");
+    let duties = file.gateway.duties.expect("duties");
+    assert_eq!(duties.kinds, DutyKind::ALL);
+    assert_eq!(duties.lease_time, Duration::from_secs(4));
+    assert_eq!(duties.usage_due, Duration::from_secs(10));
+    let none = DUTIES.replace("usage_report, autoscale", "");
+    let file = parse(&format!("{VALID_SETTINGS}{none}")).expect("sound settings");
+    assert_eq!(file.gateway.duties, None);
+}
+
+#[test]
+fn faults_of_duties_are_reported_by_kind_and_key() {
+    let cases = [
+        ("usage_report,", "usage_reports,", SettingsErrorKind::Invalid, "kinds"),
+        ("address = 127.0.0.1:8424\n", "", SettingsErrorKind::Missing, "address"),
+        ("127.0.0.1:8424", "somewhere", SettingsErrorKind::Invalid, "address"),
+        ("lease_ms = 4000", "lease_ms = 0", SettingsErrorKind::Invalid, "lease_ms"),
+        ("calls_per_s = 50.0", "calls_per_s = 0", SettingsErrorKind::Invalid, "calls_per_s"),
+        ("kinds", "duties", SettingsErrorKind::UnknownKey, "duties"),
+    ];
+    for (valid, wrong, kind, key) in cases {
+        let text = format!("{VALID_SETTINGS}{}", DUTIES.replacen(valid, wrong, 1));
+        let error = parse(&text).expect_err(wrong);
+        assert_eq!((error.kind(), error.get_key()), (kind, key), "{error}");
+        assert_eq!(error.get_section(), "duties");
+    }
+}
+
+/// Replaces the placeholders of the template as the platform does, with example values.
+fn render_template(has_duties: bool) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gateway.ini");
     let mut text = std::fs::read_to_string(path).expect("the template can be read");
+    let (begin, end) = ("{{#cloud.dutyPerS}}", "{{/cloud.dutyPerS}}");
+    let (before, rest) = text.split_once(begin).expect("begin of the duties");
+    let (duties, after) = rest.split_once(end).expect("end of the duties");
+    text = if has_duties { format!("{before}{duties}{after}") } else { format!("{before}{after}") };
+    let duty_values = [
+        ("{{cloud.addr}}", "10.200.0.113:8424"),
+        ("{{cloud.duties}}", "usage_report,autoscale"),
+        ("{{cloud.dutyPerS}}", "50.0"),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.reportWindowS}}", "5"),
+        ("{{bounds.usageLateS}}", "10"),
+    ];
+    for (placeholder, value) in duty_values {
+        assert_eq!(text.contains(placeholder), has_duties, "{placeholder}");
+        text = text.replace(placeholder, value);
+    }
     let values = [
         ("{{nodeName}}", "front-hkd-sap-1"),
         ("{{zone}}", "hkd-sap"),
@@ -85,7 +136,15 @@
         text = text.replace(placeholder, value);
     }
     assert!(!text.contains("{{"), "a placeholder of the template has no value: {text}");
-    let file = parse(&text).expect("sound settings");
+    text
+}
+
+#[test]
+fn the_deploy_template_renders_to_a_valid_file() {
+    let duties = parse(&render_template(true)).expect("sound settings").gateway.duties;
+    assert_eq!(duties.expect("duties").kinds, DutyKind::ALL);
+    let file = parse(&render_template(false)).expect("sound settings");
+    assert_eq!(file.gateway.duties, None);
     assert_eq!(file.gateway.regions.len(), 2);
     assert_eq!(file.gateway.peer_address.port(), 7_340);
     assert_eq!(file.gateway.reserved_idle_time, Duration::from_secs(7));
