usage: counts of all nodes, closing of windows, one report a window

No node counted the requests of an account, and nothing could report them once. The driver counts a call once: a stream at its first event less the time of an event, another call as it was sent. UsageReporter creates the record of a window under apricotknot/usage/WINDOW and sends only what that record says. Recipients are the first three nodes until the holder exists.

--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -114,6 +114,10 @@
     /// Endpoints whose answers say that they leave; sent in a section of its own.
     #[serde(skip)]
     pub leaving: Vec<LeavingReport>,
+    /// Time that the clock of the node shows, in microseconds since the start of 1970, if the nodes
+    /// compare their clocks; sent in a section of its own.
+    #[serde(skip)]
+    pub wall_clock_us: Option<u64>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-core/src/types/ids.rs
+++ b/crates/apricotknot-core/src/types/ids.rs
@@ -21,6 +21,12 @@
 /// Counts versions of the member list; grows by one with each change.
 pub type EpochNumber = u64;
 
+/// Counts how often the key-value service has come back from an older copy.
+///
+/// Each time it loses what it acknowledged since the copy. Revisions and ids of leases are given out
+/// again, so they identify something only within one era.
+pub type EraNumber = u64;
+
 /// Orders the successive holders of one role, such as the owner of a pool; a larger number
 /// supersedes a smaller one.
 pub type FencingNumber = u64;
@@ -57,3 +63,6 @@
 
 /// Numbers the windows of time for which usage is reported; each follows the one before.
 pub type WindowNumber = u64;
+
+/// Time since the start of 1970.
+pub type UnixTime = Duration;
--- a/crates/apricotknot-core/src/usage/usage_report.rs
+++ b/crates/apricotknot-core/src/usage/usage_report.rs
@@ -16,3 +16,10 @@
     /// Number of requests by account; accounts without any are left out.
     pub counts: BTreeMap<AccountId, u64>,
 }
+
+impl UsageReport {
+    /// Returns the number of requests of all accounts.
+    pub fn request_count(&self) -> u64 {
+        self.counts.values().sum()
+    }
+}
--- a/crates/apricotknot-gateway/src/clock.rs
+++ b/crates/apricotknot-gateway/src/clock.rs
@@ -6,6 +6,7 @@
 
 use apricotknot_core::types::IncarnationNumber;
 use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::UnixTime;
 use nix::time::ClockId;
 use nix::time::clock_gettime;
 
@@ -22,13 +23,22 @@
     }
 }
 
+/// Returns the time that the clock of the machine shows; it may jump.
+pub fn wall_clock() -> UnixTime {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// Returns the incarnation of a node that starts now: the milliseconds since the Unix epoch.
 pub fn start_incarnation() -> IncarnationNumber {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    IncarnationNumber::try_from(since.as_millis()).unwrap_or(1)
+    IncarnationNumber::try_from(wall_clock().as_millis()).unwrap_or(1)
 }
 
 /// Returns `duration` in whole milliseconds, rounded down, or `u64::MAX` if it is longer.
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns `duration` in whole microseconds, rounded down, or `u64::MAX` if it is longer.
+pub fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -11,6 +11,7 @@
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestFingerprint;
+use apricotknot_core::types::AccountId;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
@@ -182,6 +183,13 @@
         /// How it ended.
         end: AttemptEnd,
     },
+    /// A request of an account began to run.
+    RequestBegan {
+        /// Account that the request was made for.
+        account: AccountId,
+        /// Time at which it began.
+        began: MonotonicTime,
+    },
     /// The connection broke after a request was sent: its endpoint may have crashed.
     ConnectionBroken {
         /// Fingerprint of the request.
--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -187,7 +187,8 @@
                 self.failures = 0;
                 self.observe_era(range.era).await;
                 let is_restored = std::mem::take(&mut self.is_restored);
-                let mut update = StoreUpdate { is_restored, ..StoreUpdate::default() };
+                let mut update =
+                    StoreUpdate { era: range.era, is_restored, ..StoreUpdate::default() };
                 for entry in &range.entries {
                     self.read_entry(entry, &mut update).await;
                 }
@@ -279,7 +280,7 @@
     }
 
     async fn send_changes(&mut self, batch: &WatchBatch, as_of: MonotonicTime) {
-        let mut update = StoreUpdate::default();
+        let mut update = StoreUpdate { era: batch.era, ..StoreUpdate::default() };
         for event in &batch.events {
             match event {
                 WatchEvent::Put(entry) => self.read_entry(entry, &mut update).await,
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -36,6 +36,8 @@
 pub use registry::NodeRecord;
 pub use registry::NodeRegistry;
 pub use registry::RegistryChange;
+pub(crate) use registry::USAGE_PREFIX;
+pub(crate) use registry::usage_key;
 pub use relay_permit::RelayPermit;
 pub use request_quarantine::QuarantineNotice;
 pub use restore_hold::HoldNotice;
--- a/crates/apricotknot-gateway/src/control/registry.rs
+++ b/crates/apricotknot-gateway/src/control/registry.rs
@@ -9,9 +9,11 @@
 use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
+use apricotknot_core::types::WindowNumber;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::duties::UsageRecord;
 use crate::peers::SnapshotPeer;
 
 /// Prefix of the keys under which nodes announce themselves.
@@ -26,6 +28,9 @@
 /// Key of the secret with which nodes sign their datagrams.
 const SECRET_KEY: &str = "apricotknot/peer-secret";
 
+/// Prefix of the keys of usage reports, each under the number of its window.
+pub(crate) const USAGE_PREFIX: &str = "apricotknot/usage/";
+
 /// Time for which a removed node still counts in the division of shared limits.
 ///
 /// Its last requests still count against them.
@@ -56,6 +61,8 @@
     PartQuarantined(PromptPartId),
     /// The record of a quarantined prompt part was removed.
     PartReleased(PromptPartId),
+    /// The report on the usage of one window was decided.
+    UsageDecided(UsageRecord),
 }
 
 #[derive(Clone, Debug)]
@@ -173,6 +180,9 @@
     if let Some(part) = parse_part(key) {
         return Some(RegistryChange::PartQuarantined(part));
     }
+    if key.starts_with(USAGE_PREFIX) {
+        return serde_json::from_slice(value).ok().map(RegistryChange::UsageDecided);
+    }
     let node = key.strip_prefix(NODE_PREFIX)?;
     let record = serde_json::from_slice(value).ok()?;
     Some(RegistryChange::NodeAnnounced(node.into(), record))
@@ -186,6 +196,11 @@
     key.strip_prefix(NODE_PREFIX).map(|node| RegistryChange::NodeRemoved(node.into()))
 }
 
+/// Returns the key of the usage report on a window.
+pub(crate) fn usage_key(window: WindowNumber) -> Arc<str> {
+    format!("{USAGE_PREFIX}{window:020}").into()
+}
+
 fn parse_part(key: &str) -> Option<PromptPartId> {
     PromptPartId::from_str_radix(key.strip_prefix(PART_PREFIX)?, 16).ok()
 }
--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -24,6 +24,7 @@
                     "records" => update.record_changes.len(),
                     "nodes" => update.registry_changes.len()
                 );
+                self.record_reports(&update);
                 let newest = self.state.apply_snapshot(update, now);
                 if is_restored {
                     self.write_records_again();
@@ -34,6 +35,7 @@
                 delivery = arrived;
                 self.log_reachable_again(now);
                 self.log_changes(&update.record_changes);
+                self.record_reports(&update);
                 (self.state.apply_changes(update, now), as_of)
             },
             FeedEvent::Skipped(error) => {
@@ -47,6 +49,7 @@
                     "held_era" => held, "era" => found,
                     "knowledge_ms" => millis(self.shared.configuration_age(now))
                 );
+                self.observe_era(found);
                 return;
             },
             FeedEvent::Reloading(error) => {
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -3,6 +3,7 @@
 
 mod feed_events;
 mod peer_exchange;
+mod usage;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -27,6 +28,7 @@
 use tokio::task::JoinHandle;
 
 use self::peer_exchange::PeerExchange;
+use self::usage::start_usage;
 use super::ControlCommand;
 use super::ControlHandle;
 use super::ControlState;
@@ -51,6 +53,7 @@
 use crate::duties::DutyApi;
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
+use crate::duties::UsageHandle;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -148,6 +151,10 @@
     /// Sends records to the task that writes them to the key-value service.
     keeper: mpsc::Sender<KeptRecord>,
     duties: Option<DutyRoster>,
+    /// Usage that the node counts, if the deployment asks for reports.
+    usage: Option<UsageHandle>,
+    /// Time at which usage was last attended to.
+    usage_at: MonotonicTime,
 }
 
 impl ControlRunner {
@@ -157,7 +164,7 @@
         commands: mpsc::UnboundedReceiver<ControlCommand>,
     ) -> io::Result<Self> {
         let clock = BootClock;
-        let peers = PeerExchange::bind(
+        let mut peers = PeerExchange::bind(
             parts.peer_address,
             Arc::clone(&parts.node),
             Arc::clone(&parts.data_centre),
@@ -187,8 +194,12 @@
         let (keeper, kept_records) = mpsc::channel(KEEPER_CAPACITY);
         let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
         actix_rt::spawn(record_keeper.run());
+        let usage_settings = parts.duties.as_ref().map(|duties| &duties.settings);
+        let usage = usage_settings
+            .and_then(|settings| start_usage(&parts.node, parts.incarnation, settings, clock));
+        peers.set_usage(usage.clone());
         let duties = parts.duties.map(|duties| {
-            DutyRoster::start(duties, &parts.node, &parts.store, &parts.shared, &logger)
+            DutyRoster::start(duties, &parts.node, &parts.store, usage.as_ref(), &logger)
         });
         let announcer = NodeAnnouncer::new(
             parts.store,
@@ -215,6 +226,8 @@
             load: LoopLoad::default(),
             keeper,
             duties,
+            usage,
+            usage_at: MonotonicTime::ZERO,
         })
     }
 
@@ -257,6 +270,7 @@
             self.log_missing_notices();
             self.keep_lost_configuration();
             self.tick_duties();
+            self.tick_usage();
             self.peers.send_due(&mut self.state, self.clock.now());
             self.record_load(kind, woken);
         }
@@ -422,15 +436,21 @@
     /// Handles commands; if one of them stops the thread, returns the sender to notify at its end.
     fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> Option<oneshot::Sender<()>> {
         for command in batch.drain(..) {
-            if let ControlCommand::Stop { done } = command {
-                return Some(done);
+            match command {
+                ControlCommand::Stop { done } => return Some(done),
+                ControlCommand::RequestBegan { account, began } => {
+                    if let Some(usage) = &self.usage {
+                        usage.borrow_mut().record_began(&account, began);
+                    }
+                },
+                command => self.state.handle_command(command, self.clock.now()),
             }
-            self.state.handle_command(command, self.clock.now());
         }
         None
     }
 
     async fn withdraw(&mut self) {
+        self.peers.send_last_counts(&self.state, self.clock.now());
         self.announcer_signals.stop.notify_one();
         if tokio::time::timeout(WITHDRAW_TIMEOUT, &mut self.announcer_task).await.is_err() {
             warn!(
--- a/crates/apricotknot-gateway/src/control/runner/peer_exchange.rs
+++ b/crates/apricotknot-gateway/src/control/runner/peer_exchange.rs
@@ -1,4 +1,4 @@
-//! Exchange of load snapshots with the other nodes, over UDP.
+//! Exchange of load snapshots and counts of requests with the other nodes, over UDP.
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,12 +9,17 @@
 use apricotknot_core::types::DataCentreId;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
+use apricotknot_core::usage::CountSnapshot;
 use slog::Logger;
 use slog::warn;
 use tokio::net::UdpSocket;
 
+use crate::clock::micros;
+use crate::clock::wall_clock;
 use crate::control::ControlState;
+use crate::duties::UsageHandle;
 use crate::peers::DatagramError;
+use crate::peers::PeerMessage;
 use crate::peers::PeerSeals;
 use crate::peers::SnapshotRouter;
 use crate::peers::decode_snapshot;
@@ -35,6 +40,8 @@
     node: NodeId,
     seals: PeerSeals,
     router: SnapshotRouter,
+    /// Usage that the node counts, if the deployment asks for reports.
+    usage: Option<UsageHandle>,
     sent_at: MonotonicTime,
     has_unsent_changes: bool,
     logger: Logger,
@@ -53,6 +60,7 @@
             buffer: vec![0; DATAGRAM_BYTES],
             seals: PeerSeals::default(),
             router: SnapshotRouter::new(&node, data_centre),
+            usage: None,
             node,
             sent_at: MonotonicTime::ZERO,
             has_unsent_changes: false,
@@ -60,6 +68,11 @@
         })
     }
 
+    /// Makes the node send its counts of requests, and merge those of other nodes.
+    pub(super) fn set_usage(&mut self, usage: Option<UsageHandle>) {
+        self.usage = usage;
+    }
+
     /// Sets the secret with which nodes sign; returns whether it is another one than before.
     pub(super) fn set_secret(&mut self, secret: &[u8]) -> bool {
         self.seals.set_secret(secret)
@@ -104,9 +117,28 @@
         state: &mut ControlState,
         now: MonotonicTime,
     ) -> Result<(), DatagramError> {
-        let Some(snapshot) = self.seals.decode(&self.buffer[..length])? else {
-            return Ok(());
-        };
+        match self.seals.decode(&self.buffer[..length])? {
+            Some(PeerMessage::Load(snapshot)) => self.apply_load(*snapshot, state, now),
+            Some(PeerMessage::Counts(counts)) => {
+                if let Some(usage) = &self.usage {
+                    usage.borrow_mut().merge(&counts, now);
+                }
+                Ok(())
+            },
+            None => Ok(()),
+        }
+    }
+
+    fn apply_load(
+        &mut self,
+        snapshot: LoadSnapshot,
+        state: &mut ControlState,
+        now: MonotonicTime,
+    ) -> Result<(), DatagramError> {
+        if let (Some(usage), Some(wall_us)) = (&self.usage, snapshot.wall_clock_us) {
+            let wall = Duration::from_micros(wall_us);
+            usage.borrow_mut().record_clock(&snapshot.node, wall, now);
+        }
         let forwarded = self.router.receive(&snapshot, now)?;
         if !forwarded.is_empty() {
             self.send(state, forwarded, self.router.recipients().collect(), now);
@@ -137,6 +169,43 @@
         }
     }
 
+    /// Sends the counts of this node if they are due.
+    pub(super) fn send_due_counts(&self, state: &ControlState, now: MonotonicTime) {
+        if let Some(usage) = &self.usage {
+            let counts = usage.borrow_mut().take_due_counts(now);
+            self.send_counts(usage, state, &counts);
+        }
+    }
+
+    /// Sends the counts of this node, which is about to stop.
+    pub(super) fn send_last_counts(&self, state: &ControlState, now: MonotonicTime) {
+        if let Some(usage) = &self.usage {
+            let counts = usage.borrow_mut().take_counts(now);
+            self.send_counts(usage, state, &counts);
+        }
+    }
+
+    fn send_counts(&self, usage: &UsageHandle, state: &ControlState, counts: &[CountSnapshot]) {
+        let Some(seal) = self.seals.current() else {
+            return;
+        };
+        let usage = usage.borrow();
+        let records = usage.recipients().iter().filter(|node| **node != self.node);
+        let records = records.filter_map(|node| state.registry().announced(node));
+        let addresses: Vec<SocketAddr> = records.map(|record| record.address).collect();
+        for part in counts {
+            match seal.encode_counts(part) {
+                Ok(datagram) => {
+                    for address in &addresses {
+                        // Later counts include those that cannot be sent.
+                        let _ = self.socket.try_send_to(&datagram, *address);
+                    }
+                },
+                Err(error) => self.log_unsent(&error),
+            }
+        }
+    }
+
     /// Sends this node's snapshot, with those that it passes on.
     fn send(
         &self,
@@ -148,7 +217,8 @@
         let Some(seal) = self.seals.current() else {
             return;
         };
-        let snapshot = LoadSnapshot { relayed, ..state.next_snapshot(now) };
+        let wall_clock_us = self.usage.as_ref().map(|_| micros(wall_clock()));
+        let snapshot = LoadSnapshot { relayed, wall_clock_us, ..state.next_snapshot(now) };
         match seal.encode(&snapshot) {
             Ok(datagram) => {
                 for recipient in recipients {
@@ -162,7 +232,7 @@
 
     fn log_unsent(&self, error: &DatagramError) {
         warn!(
-            self.logger, "control: cannot encode the load snapshot; not sending it";
+            self.logger, "control: cannot encode a message to peers; not sending it";
             "error" => %error
         );
     }
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -205,7 +205,7 @@
             ControlCommand::RequestAnswered { fingerprint, shared_parts } => {
                 self.quarantine.record_answered(fingerprint, &shared_parts, now);
             },
-            ControlCommand::Stop { .. } => {},
+            ControlCommand::RequestBegan { .. } | ControlCommand::Stop { .. } => {},
         }
     }
 
@@ -290,6 +290,7 @@
             relay: Some(self.relay_status(now)),
             backoffs: self.fleet.backoff_reports(now),
             leaving: self.fleet.leaving_reports(now),
+            wall_clock_us: None,
             relayed: Vec::new(),
         };
         self.quarantine.add_reports(&mut snapshot, now);
--- a/crates/apricotknot-gateway/src/control/state/store_updates.rs
+++ b/crates/apricotknot-gateway/src/control/state/store_updates.rs
@@ -131,7 +131,9 @@
             RegistryChange::NodeAnnounced(node, record) => self.registry.set(node, record),
             RegistryChange::NodeRemoved(node) => self.registry.remove(&node, now),
             RegistryChange::Secret(secret) => self.peer_secret = Some(secret),
-            RegistryChange::PartQuarantined(_) | RegistryChange::PartReleased(_) => {},
+            RegistryChange::PartQuarantined(_)
+            | RegistryChange::PartReleased(_)
+            | RegistryChange::UsageDecided(_) => {},
         }
     }
 
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -66,6 +66,8 @@
     pub(super) relay_failures: u32,
     /// Endpoint of the latest attempt.
     pub(super) endpoint: Option<EndpointId>,
+    /// Whether the call was counted as one that began to run.
+    pub(super) is_counted: bool,
     /// Time from the arrival of the call until the first answer began.
     pub(super) answer_begun_after: Option<Duration>,
     /// Grant for the endpoint that replaces a silent one.
@@ -99,6 +101,7 @@
             unreached: Vec::new(),
             relay_failures: 0,
             endpoint: None,
+            is_counted: false,
             answer_begun_after: None,
             next_grant: None,
             sends: 0,
@@ -141,8 +144,14 @@
 
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallInterrupt> {
         match self.next_step(&mut open, EndpointExchange::read_head).await {
-            Err(reason) => Err(self.interrupt_attempt(open.guard, &open.endpoint, reason)),
-            Ok(Err(error)) => Err(self.end_broken_attempt(open, &error)),
+            Err(reason) => {
+                self.count_unanswered(&open);
+                Err(self.interrupt_attempt(open.guard, &open.endpoint, reason))
+            },
+            Ok(Err(error)) => {
+                self.count_unanswered(&open);
+                Err(self.end_broken_attempt(open, &error))
+            },
             Ok(Ok(head)) => {
                 open.progress_at = self.now();
                 self.check_head(open, head)
@@ -176,6 +185,7 @@
             self.excluded.push(open.at_fault(metadata.at_fault.as_deref()));
             return Err(CallInterrupt::Attempt(AttemptFault::NotRun));
         }
+        self.count_answered(&open, head.status);
         let is_valid = metadata.is_sealed
             && is_own
             && answered_id.is_some()
--- a/crates/apricotknot-gateway/src/driver/context.rs
+++ b/crates/apricotknot-gateway/src/driver/context.rs
@@ -20,6 +20,8 @@
     pub node: NodeId,
     /// Longest time for which endpoints keep memory that no request uses.
     pub reserved_idle_time: Duration,
+    /// Whether the requests of each account are counted.
+    pub counts_usage: bool,
     /// Translator of the headers of callers and endpoints.
     pub protocol: P,
     /// Settings of the HTTP codec.
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -56,6 +56,7 @@
                 let is_first = !std::mem::replace(&mut open.has_begun, true);
                 if is_first {
                     self.record_answer_begun(&open);
+                    self.count_stream(&open);
                     open.silence_limit = open.silence_limit.and(self.stream_silence_limit());
                 }
                 if !self.is_next(&event, is_first) {
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -1,7 +1,6 @@
 //! The duties of one node: their permits and their tasks.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::duty::DutyKind;
@@ -17,10 +16,11 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
+use super::UsageHandle;
 use super::UsageReporter;
+use super::UsageTools;
 use crate::clock::BootClock;
 use crate::control::ControlState;
-use crate::control::SharedState;
 use crate::store::MetadataStore;
 
 /// Interval between two snapshots for the scaling controller.
@@ -46,7 +46,7 @@
         parts: DutyParts<A>,
         node: &NodeId,
         store: &S,
-        shared: &Arc<SharedState>,
+        usage: Option<&UsageHandle>,
         logger: &Logger,
     ) -> Self {
         let DutyParts { settings, api } = parts;
@@ -64,8 +64,9 @@
             };
             match kind {
                 DutyKind::UsageReport => {
-                    let reporter = UsageReporter::new(tools, Arc::clone(shared));
-                    actix_rt::spawn(reporter.run());
+                    if let Some(usage) = usage {
+                        start_reporter(tools, UsageHandle::clone(usage));
+                    }
                 },
                 DutyKind::Autoscale => {
                     let controller = ScalingController::new(tools, inputs_reader.clone());
@@ -84,3 +85,17 @@
         }
     }
 }
+
+/// Starts the task that reports usage.
+fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, accounting: UsageHandle) {
+    let clock = tools.clock;
+    let reporter = UsageReporter::new(UsageTools {
+        accounting,
+        permit: tools.permit,
+        api: tools.api,
+        store: tools.store,
+        clock: move || clock.now(),
+        logger: tools.logger,
+    });
+    actix_rt::spawn(reporter.run());
+}
--- a/crates/apricotknot-gateway/src/duties/mod.rs
+++ b/crates/apricotknot-gateway/src/duties/mod.rs
@@ -9,6 +9,8 @@
 mod permitted_api;
 mod scaling_controller;
 mod scaling_inputs;
+mod usage_handle;
+mod usage_record;
 mod usage_reporter;
 
 pub use duty_api::DutyAnswer;
@@ -24,4 +26,7 @@
 pub use permitted_api::PermittedApi;
 pub use scaling_controller::ScalingController;
 pub use scaling_inputs::ScalingInputs;
+pub use usage_handle::UsageHandle;
+pub use usage_record::UsageRecord;
 pub use usage_reporter::UsageReporter;
+pub use usage_reporter::UsageTools;
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -9,6 +9,7 @@
 use actix_http::KeepAlive;
 use actix_http::ServiceConfigBuilder;
 use actix_rt::net::TcpStream;
+use apricotknot_core::duty::DutyKind;
 use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
@@ -101,6 +102,10 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let counts_usage = settings
+            .duties
+            .as_ref()
+            .is_some_and(|duties| duties.kinds.contains(&DutyKind::UsageReport));
         let parts = {
             let (shared, logger) = (Arc::clone(&shared), logger.clone());
             move || ControlParts {
@@ -123,6 +128,7 @@
         let (control, _) = start_control(parts)?;
         let context = TrafficContext {
             node: name,
+            counts_usage,
             reserved_idle_time,
             protocol,
             http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
--- a/crates/apricotknot-gateway/src/peers/datagram_error.rs
+++ b/crates/apricotknot-gateway/src/peers/datagram_error.rs
@@ -12,6 +12,6 @@
     #[error("signature does not match the peer secret")]
     InvalidSignature,
     /// The content cannot be encoded or decoded.
-    #[error("load snapshot cannot be encoded or decoded")]
+    #[error("content cannot be encoded or decoded")]
     Malformed,
 }
--- a/crates/apricotknot-gateway/src/peers/datagram_seal.rs
+++ b/crates/apricotknot-gateway/src/peers/datagram_seal.rs
@@ -1,12 +1,14 @@
-//! Encoding and decoding of signed load snapshots.
+//! Encoding and decoding of signed datagrams.
 
 use apricotknot_core::fleet::LoadSnapshot;
+use apricotknot_core::usage::CountSnapshot;
 use hmac::Hmac;
 use hmac::KeyInit;
 use hmac::Mac;
 use sha2::Sha256;
 
 use super::DatagramError;
+use super::counts_codec::encode_counts;
 use super::snapshot_codec::decode_snapshot;
 use super::snapshot_codec::encode_snapshot;
 
@@ -31,10 +33,16 @@
     ///
     /// Returns an error if the snapshot cannot be encoded.
     pub fn encode(&self, snapshot: &LoadSnapshot) -> Result<Vec<u8>, DatagramError> {
-        let mut bytes = encode_snapshot(snapshot)?;
-        let tag = self.tag(&[&bytes]);
-        bytes.extend_from_slice(&tag);
-        Ok(bytes)
+        Ok(self.sign(encode_snapshot(snapshot)?))
+    }
+
+    /// Returns the datagram with counts and its signature.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the counts cannot be encoded.
+    pub fn encode_counts(&self, counts: &CountSnapshot) -> Result<Vec<u8>, DatagramError> {
+        Ok(self.sign(encode_counts(counts)?))
     }
 
     /// Returns the snapshot of a datagram whose signature is valid.
@@ -43,13 +51,28 @@
     ///
     /// Returns why the datagram is rejected.
     pub fn decode(&self, datagram: &[u8]) -> Result<LoadSnapshot, DatagramError> {
+        decode_snapshot(self.open(datagram)?)
+    }
+
+    /// Returns the content of a datagram whose signature is valid.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram is rejected.
+    pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], DatagramError> {
         let length =
             datagram.len().checked_sub(TAG_BYTES).ok_or(DatagramError::TooShort(datagram.len()))?;
         let (bytes, tag) = datagram.split_at(length);
         if !self.verifies(&[bytes], tag) {
             return Err(DatagramError::InvalidSignature);
         }
-        decode_snapshot(bytes)
+        Ok(bytes)
+    }
+
+    fn sign(&self, mut bytes: Vec<u8>) -> Vec<u8> {
+        let tag = self.tag(&[&bytes]);
+        bytes.extend_from_slice(&tag);
+        bytes
     }
 
     /// Returns the signature of a message that consists of `parts`.
--- a/crates/apricotknot-gateway/src/peers/peer_seals.rs
+++ b/crates/apricotknot-gateway/src/peers/peer_seals.rs
@@ -1,9 +1,8 @@
 //! Seals of the secrets that nodes have shared.
 
-use apricotknot_core::fleet::LoadSnapshot;
-
 use super::DatagramError;
 use super::DatagramSeal;
+use super::PeerMessage;
 
 /// Holds the seal of the secret in force, and that of the secret before.
 ///
@@ -38,20 +37,19 @@
         self.current.iter().chain(&self.previous).find(|seal| matches(seal))
     }
 
-    /// Returns the snapshot of a datagram, or `None` before a secret is set.
+    /// Returns the message in a datagram, or `None` before a secret is set.
     ///
     /// # Errors
     ///
     /// Returns why neither of the seals accepts the datagram.
-    pub fn decode(&self, datagram: &[u8]) -> Result<Option<LoadSnapshot>, DatagramError> {
+    pub fn decode(&self, datagram: &[u8]) -> Result<Option<PeerMessage>, DatagramError> {
         let Some(current) = &self.current else {
             return Ok(None);
         };
-        match (current.decode(datagram), &self.previous) {
-            (Err(DatagramError::InvalidSignature), Some(previous)) => {
-                previous.decode(datagram).map(Some)
-            },
-            (decoded, _) => decoded.map(Some),
-        }
+        let content = match (current.open(datagram), &self.previous) {
+            (Err(DatagramError::InvalidSignature), Some(previous)) => previous.open(datagram),
+            (content, _) => content,
+        };
+        PeerMessage::decode(content?).map(Some)
     }
 }
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -26,6 +26,9 @@
 /// Number of the section with endpoints that leave.
 const LEAVING_SECTION: u8 = 5;
 
+/// Number of the section with the time that the node's clock shows.
+const CLOCK_SECTION: u8 = 6;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -51,6 +54,9 @@
     if !snapshot.relayed.is_empty() {
         push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
     }
+    if let Some(wall_clock_us) = &snapshot.wall_clock_us {
+        push_section(&mut bytes, CLOCK_SECTION, wall_clock_us)?;
+    }
     Ok(bytes)
 }
 
@@ -69,6 +75,7 @@
             RELAY_SECTION => snapshot.relay = Some(parse_value(value)?),
             BACKOFFS_SECTION => snapshot.backoffs = parse_value(value)?,
             LEAVING_SECTION => snapshot.leaving = parse_value(value)?,
+            CLOCK_SECTION => snapshot.wall_clock_us = Some(parse_value(value)?),
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
         }
--- a/crates/apricotknot-gateway/src/peers/snapshot_router.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_router.rs
@@ -124,7 +124,8 @@
         now: MonotonicTime,
     ) -> Result<Vec<RelayedSnapshot>, DatagramError> {
         if self.direct.contains_key(&snapshot.node) {
-            let own = LoadSnapshot { relayed: Vec::new(), ..snapshot.clone() };
+            // A clock that is told later is of no use.
+            let own = LoadSnapshot { relayed: Vec::new(), wall_clock_us: None, ..snapshot.clone() };
             let held = HeldSnapshot { snapshot: own, received: now };
             self.held.insert(NodeId::clone(&snapshot.node), held);
             return Ok(Vec::new());
@@ -133,7 +134,7 @@
         if !is_remote {
             return Ok(Vec::new());
         }
-        let sender = LoadSnapshot { relayed: Vec::new(), ..snapshot.clone() };
+        let sender = LoadSnapshot { relayed: Vec::new(), wall_clock_us: None, ..snapshot.clone() };
         let sender = RelayedSnapshot { age_ms: 0, bytes: encode_snapshot(&sender)? };
         Ok(std::iter::once(sender).chain(snapshot.relayed.iter().cloned()).collect())
     }
--- a/crates/apricotknot-gateway/src/store/entry.rs
+++ b/crates/apricotknot-gateway/src/store/entry.rs
@@ -3,14 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::types::EraNumber;
 use apricotknot_core::types::RevisionNumber;
 
-/// Counts how often the key-value service has come back from an older copy.
-///
-/// Each time it loses what it acknowledged since the copy. Revisions and ids of leases are given out
-/// again, so they identify something only within one era.
-pub type EraNumber = u64;
-
 /// Identifies a lease of the key-value service.
 pub type LeaseId = i64;
 
--- a/crates/apricotknot-gateway/src/store/mod.rs
+++ b/crates/apricotknot-gateway/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod error;
 mod metadata_store;
 
-pub use entry::EraNumber;
+pub use apricotknot_core::types::EraNumber;
 pub use entry::ExpectedRevision;
 pub use entry::KeyRange;
 pub use entry::LeaseId;
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -15,12 +15,15 @@
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::fleet::WorkSnapshot;
+use apricotknot_core::usage::CountSnapshot;
+use apricotknot_core::usage::WindowCounts;
 use apricotknot_gateway::control::ControlHandle;
 use apricotknot_gateway::control::ControlState;
 use apricotknot_gateway::control::FleetLimits;
 use apricotknot_gateway::control::NodeRecord;
 use apricotknot_gateway::peers::DatagramError;
 use apricotknot_gateway::peers::DatagramSeal;
+use apricotknot_gateway::peers::PeerMessage;
 use apricotknot_gateway::peers::PeerSeals;
 use apricotknot_gateway::peers::decode_snapshot;
 use hmac::Hmac;
@@ -61,10 +64,21 @@
             left_ms: 70,
         }],
         leaving: vec![LeavingReport { endpoint: "engine".into(), incarnation: 2 }],
+        wall_clock_us: None,
         relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
 
+fn counts() -> CountSnapshot {
+    let counts = BTreeMap::from([("account".into(), 12), ("other".into(), 1)]);
+    CountSnapshot {
+        node: "node".into(),
+        incarnation: 3,
+        first_open: 353_445_121,
+        windows: vec![WindowCounts { window: 353_445_120, counts }],
+    }
+}
+
 #[test]
 fn snapshot_is_decoded_as_it_was_encoded() {
     let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
@@ -167,6 +181,39 @@
     serde_json::from_slice::<NodeRecord>(newer).expect("unknown fields are skipped");
 }
 
+// Guards against nodes of the landed build that take counts for the load of some node.
+#[test]
+fn landed_build_drops_counts_and_skips_the_clock() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let datagram = seal.encode_counts(&counts()).expect("encoded counts");
+    // The landed build reads each datagram as a snapshot.
+    assert_eq!(seal.decode(&datagram), Err(DatagramError::Malformed));
+    let read = postcard::from_bytes::<FirstSnapshot>(seal.open(&datagram).expect("signed content"));
+    read.expect_err("counts are no snapshot");
+    let with_clock = LoadSnapshot { wall_clock_us: Some(1_767_225_600_000_000), ..snapshot() };
+    let datagram = seal.encode(&with_clock).expect("encoded datagram");
+    assert_eq!(seal.decode(&datagram), Ok(with_clock));
+    let landed = &LANDED_DATAGRAM[..LANDED_DATAGRAM.len() - TAG_BYTES];
+    let added = seal.open(&datagram).expect("signed content").strip_prefix(landed);
+    let added = added.expect("what the landed build reads comes first and is the same");
+    assert_eq!(added[..5], [6, 8, 0, 0, 0], "the head of one section that it skips");
+    assert_eq!(added.len(), 5 + 8);
+}
+
+#[test]
+fn counts_are_decoded_as_they_were_encoded_also_with_fields_of_a_later_version() {
+    let mut seals = PeerSeals::default();
+    seals.set_secret(b"secret");
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let datagram = seal.encode_counts(&counts()).expect("encoded counts");
+    assert_eq!(seals.decode(&datagram), Ok(Some(PeerMessage::Counts(counts()))));
+    let mut content = datagram[..datagram.len() - TAG_BYTES].to_vec();
+    content.extend([1, 2, 3]);
+    assert_eq!(seals.decode(&sign(&content)), Ok(Some(PeerMessage::Counts(counts()))));
+    content.truncate(20);
+    assert_eq!(seals.decode(&sign(&content)), Err(DatagramError::Malformed));
+}
+
 #[test]
 fn section_that_is_not_known_is_skipped() {
     let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
@@ -181,6 +228,7 @@
 #[test]
 fn datagram_is_read_with_the_secret_before_until_all_nodes_know_the_new_one() {
     let mut seals = PeerSeals::default();
+    let load = || PeerMessage::Load(Box::new(snapshot()));
     let sealed = |secret: &[u8]| {
         let seal = DatagramSeal::new(secret).expect("seal of the secret");
         seal.encode(&snapshot()).expect("encoded datagram")
@@ -190,7 +238,7 @@
     assert_eq!(seals.decode(&sealed(b"second")), Err(DatagramError::InvalidSignature));
     assert!(seals.set_secret(b"second"));
     for secret in ["first", "second"] {
-        assert_eq!(seals.decode(&sealed(secret.as_bytes())), Ok(Some(snapshot())));
+        assert_eq!(seals.decode(&sealed(secret.as_bytes())), Ok(Some(load())));
     }
     assert_eq!(seals.decode(&sealed(b"third")), Err(DatagramError::InvalidSignature));
 }
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -73,6 +73,7 @@
         let context = TrafficContext {
             node: "relay".into(),
             reserved_idle_time: Duration::from_secs(9),
+            counts_usage: false,
             protocol: (),
             http: ServiceConfig::default(),
             shared: Arc::clone(&shared),
