usage: test of a record for an era that has ended, with the lease that makes it possible

Cause: with records of any era taken as decided, the test still passed: its node had no lease yet, so nothing was written. Change: the node holds a lease of the era before; the next windows are checked too.

--- a/crates/apricotknot-gateway/tests/usage_reporter.rs
+++ b/crates/apricotknot-gateway/tests/usage_reporter.rs
@@ -146,17 +146,19 @@
 #[test]
 fn write_that_lands_in_a_later_era_is_not_sent() {
     let mut fleet = fleet_with_requests();
-    fleet.run(3 * SECOND);
+    fleet.run(7 * SECOND);
+    assert!(is_reported_once(&fleet));
     fleet.store.copy();
     fleet.store.restore();
-    // Node 0 has not noticed, and closes the window.
-    while fleet.store.records().is_empty() {
+    // Node 0 has not noticed, and closes the next window under a lease of the era before.
+    while fleet.store.records().len() < 2 {
         fleet.advance(Duration::from_millis(100));
         (0..3).for_each(|index| fleet.exchange(index, |_| true));
         fleet.step(0);
     }
-    fleet.run(4 * SECOND);
-    assert!(fleet.accepted(FIRST).is_empty());
+    fleet.run(10 * SECOND);
+    assert!(fleet.accepted(FIRST + 1).is_empty());
+    assert_eq!(fleet.accepted(FIRST + 2).len(), 1, "windows that end later are reported");
 }
 
 #[test]
