--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -48,12 +48,14 @@
 use super::record_keeper::RecordKeeper;
 use super::registry::configuration_key;
 use super::registry::part_key;
+use crate::GatewayMetrics;
 use crate::clock::BootClock;
 use crate::clock::millis;
 use crate::duties::DutyApi;
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
 use crate::duties::UsageHandle;
+use crate::duties::UsageParts;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -96,6 +98,8 @@
     pub duties: Option<DutyParts<A>>,
     /// State that is published to the traffic threads.
     pub shared: Arc<SharedState>,
+    /// Metrics of the node.
+    pub metrics: Arc<GatewayMetrics>,
     /// Logger of the control thread.
     pub logger: Logger,
 }
@@ -155,6 +159,9 @@
     usage: Option<UsageHandle>,
     /// Time at which usage was last attended to.
     usage_at: MonotonicTime,
+    /// Time at which usage was last published to operators.
+    usage_published_at: MonotonicTime,
+    metrics: Arc<GatewayMetrics>,
 }
 
 impl ControlRunner {
@@ -198,8 +205,12 @@
         let usage = usage_settings
             .and_then(|settings| start_usage(&parts.node, parts.incarnation, settings, clock));
         peers.set_usage(usage.clone());
+        let usage_parts = usage.clone().map(|accounting| UsageParts {
+            accounting,
+            reports: parts.metrics.usage_reports.clone(),
+        });
         let duties = parts.duties.map(|duties| {
-            DutyRoster::start(duties, &parts.node, &parts.store, usage.as_ref(), &logger)
+            DutyRoster::start(duties, &parts.node, &parts.store, usage_parts, &logger)
         });
         let announcer = NodeAnnouncer::new(
             parts.store,
@@ -228,6 +239,8 @@
             duties,
             usage,
             usage_at: MonotonicTime::ZERO,
+            usage_published_at: MonotonicTime::ZERO,
+            metrics: parts.metrics,
         })
     }
 
@@ -439,9 +452,7 @@
             match command {
                 ControlCommand::Stop { done } => return Some(done),
                 ControlCommand::RequestBegan { account, began } => {
-                    if let Some(usage) = &self.usage {
-                        usage.borrow_mut().record_began(&account, began);
-                    }
+                    self.count_request(&account, began);
                 },
                 command => self.state.handle_command(command, self.clock.now()),
             }
--- a/crates/apricotknot-gateway/src/control/runner/usage.rs
+++ b/crates/apricotknot-gateway/src/control/runner/usage.rs
@@ -1,11 +1,14 @@
 //! Usage accounting of the node, as far as the control thread's loop does it.
 
 use std::cell::RefCell;
+use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::duty::DutyKind;
+use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EraNumber;
 use apricotknot_core::types::IncarnationNumber;
+use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
 use apricotknot_core::usage::UsageAccounting;
 use apricotknot_core::usage::UsageWindows;
@@ -18,10 +21,14 @@
 use crate::control::StoreUpdate;
 use crate::duties::DutySettings;
 use crate::duties::UsageHandle;
+use crate::duties::UsageStatus;
 
 /// Interval at which the clocks are compared and due counts are sent.
 const USAGE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which the last windows are published to operators.
+const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Returns the usage accounting of a node that starts, if its settings ask for reports.
 pub(super) fn start_usage(
     node: &NodeId,
@@ -59,6 +66,29 @@
             usage.set_recipients(self.usage_recipients());
         }
         self.peers.send_due_counts(&self.state, now);
+        self.publish_usage(now);
+    }
+
+    /// Publishes what is known of the last windows, if it is due.
+    fn publish_usage(&mut self, now: MonotonicTime) {
+        let Some(usage) =
+            self.usage.as_ref().filter(|_| now >= self.usage_published_at + STATUS_INTERVAL)
+        else {
+            return;
+        };
+        self.usage_published_at = now;
+        let usage = usage.borrow();
+        let late = usage.late_count().saturating_sub(self.metrics.late_usage.get());
+        self.metrics.late_usage.inc_by(late);
+        self.shared.set_usage_status(Arc::new(UsageStatus::new(&usage, now)));
+    }
+
+    /// Counts a request that began to run.
+    pub(super) fn count_request(&self, account: &AccountId, began: MonotonicTime) {
+        if let Some(usage) = &self.usage {
+            usage.borrow_mut().record_began(account, began);
+            self.metrics.counted_requests.inc();
+        }
     }
 
     /// Returns the nodes that report usage or may have to soon.
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::clock::millis;
+use crate::duties::UsageStatus;
 use crate::peers::PeerSeals;
 
 /// Limits the age of the configuration by which requests are admitted and denied.
@@ -36,6 +37,7 @@
     is_ending: watch::Sender<bool>,
     is_closed: AtomicBool,
     is_path_suspect: AtomicBool,
+    usage_status: watch::Sender<Option<Arc<UsageStatus>>>,
     limits: StalenessLimits,
 }
 
@@ -50,6 +52,7 @@
             is_ending: watch::Sender::new(false),
             is_closed: AtomicBool::new(false),
             is_path_suspect: AtomicBool::new(false),
+            usage_status: watch::Sender::new(None),
             limits,
         }
     }
@@ -64,6 +67,11 @@
         self.peer_seals.send_replace(seals);
     }
 
+    /// Publishes what the node knows of the fleet's usage.
+    pub fn set_usage_status(&self, status: Arc<UsageStatus>) {
+        self.usage_status.send_replace(Some(status));
+    }
+
     /// Records that the configuration in force was the newest one at `moment`.
     pub fn confirm_as_of(&self, moment: MonotonicTime) {
         self.confirmed_at_ms.fetch_max(millis(moment), Ordering::Release);
@@ -102,6 +110,11 @@
         self.peer_seals.borrow().clone()
     }
 
+    /// Returns what the node knows of the fleet's usage, or `None` if it does not count any.
+    pub fn usage_status(&self) -> Option<Arc<UsageStatus>> {
+        self.usage_status.borrow().clone()
+    }
+
     /// Returns the time since the configuration in force was last known to be the newest one.
     pub fn configuration_age(&self, now: MonotonicTime) -> Duration {
         now.saturating_sub(Duration::from_millis(self.confirmed_at_ms.load(Ordering::Acquire)))
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -6,6 +6,7 @@
 use apricotknot_core::duty::DutyKind;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
+use prometheus_client::metrics::counter::Counter;
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -34,6 +35,15 @@
     pub api: A,
 }
 
+/// What the usage reporter shares with the control thread.
+#[derive(Clone)]
+pub(crate) struct UsageParts {
+    /// Counts and reports that the node knows.
+    pub(crate) accounting: UsageHandle,
+    /// Counts the reports that were accepted.
+    pub(crate) reports: Counter,
+}
+
 /// Holds the permits of the duties that this deployment has.
 pub(crate) struct DutyRoster {
     inputs: watch::Sender<Rc<ScalingInputs>>,
@@ -46,7 +56,7 @@
         parts: DutyParts<A>,
         node: &NodeId,
         store: &S,
-        usage: Option<&UsageHandle>,
+        usage: Option<UsageParts>,
         logger: &Logger,
     ) -> Self {
         let DutyParts { settings, api } = parts;
@@ -64,8 +74,8 @@
             };
             match kind {
                 DutyKind::UsageReport => {
-                    if let Some(usage) = usage {
-                        start_reporter(tools, UsageHandle::clone(usage));
+                    if let Some(usage) = usage.clone() {
+                        start_reporter(tools, usage);
                     }
                 },
                 DutyKind::Autoscale => {
@@ -87,10 +97,11 @@
 }
 
 /// Starts the task that reports usage.
-fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, accounting: UsageHandle) {
+fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, usage: UsageParts) {
     let clock = tools.clock;
     let reporter = UsageReporter::new(UsageTools {
-        accounting,
+        accounting: usage.accounting,
+        reports: usage.reports,
         permit: tools.permit,
         api: tools.api,
         store: tools.store,
--- a/crates/apricotknot-gateway/src/duties/usage_reporter.rs
+++ b/crates/apricotknot-gateway/src/duties/usage_reporter.rs
@@ -13,6 +13,7 @@
 use apricotknot_core::types::WindowNumber;
 use apricotknot_core::usage::ClosedWindow;
 use apricotknot_core::usage::UsageReport;
+use prometheus_client::metrics::counter::Counter;
 use slog::Logger;
 use slog::error;
 use slog::info;
@@ -58,6 +59,8 @@
     pub store: S,
     /// Returns the current time.
     pub clock: C,
+    /// Counts the reports that were accepted.
+    pub reports: Counter,
     /// Logger of the control thread.
     pub logger: Logger,
 }
@@ -227,6 +230,7 @@
         };
         match self.tools.api.report_usage(&call, report).await {
             Ok(DutyAnswer::Accepted) => {
+                self.tools.reports.inc();
                 self.log_reported(report, fence);
                 Ok(())
             },
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -106,8 +106,10 @@
             .duties
             .as_ref()
             .is_some_and(|duties| duties.kinds.contains(&DutyKind::UsageReport));
+        let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
-            let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
+            let logger = logger.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -122,6 +124,7 @@
                     .duties
                     .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
                 shared,
+                metrics,
                 logger,
             }
         };
@@ -136,7 +139,7 @@
             control,
             clock: BootClock,
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
-            metrics: Arc::new(GatewayMetrics::new()),
+            metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -45,6 +45,12 @@
     pub open_relays: Gauge<i64, AtomicI64>,
     /// Attempts that other nodes relayed for this one.
     pub relayed_attempts: Counter,
+    /// Requests that were counted for the usage reports.
+    pub counted_requests: Counter,
+    /// Requests that became known to this node after the report on their window.
+    pub late_usage: Counter,
+    /// Usage reports of this node that were accepted.
+    pub usage_reports: Counter,
 }
 
 impl GatewayMetrics {
@@ -57,6 +63,9 @@
         let open_calls = Gauge::default();
         let open_relays = Gauge::default();
         let relayed_attempts = Counter::default();
+        let counted_requests = Counter::default();
+        let late_usage = Counter::default();
+        let usage_reports = Counter::default();
         let mut registry = Registry::with_prefix("apricotknot_gateway");
         registry.register("calls", "Calls that ended", calls.clone());
         registry.register("attempts", "Attempts that ended", attempts.clone());
@@ -64,7 +73,21 @@
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         registry.register("open_relays", "Connections relayed for peers", open_relays.clone());
         registry.register("relayed_attempts", "Attempts through peers", relayed_attempts.clone());
-        Self { registry, calls, attempts, answer_begin, open_calls, open_relays, relayed_attempts }
+        registry.register("counted_requests", "Requests counted", counted_requests.clone());
+        registry.register("late_usage", "Requests in no usage report", late_usage.clone());
+        registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
+        Self {
+            registry,
+            calls,
+            attempts,
+            answer_begin,
+            open_calls,
+            open_relays,
+            relayed_attempts,
+            counted_requests,
+            late_usage,
+            usage_reports,
+        }
     }
 
     /// Renders all metrics in the OpenMetrics text format.
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -200,6 +200,25 @@
     assert_eq!(added.len(), 5 + 8);
 }
 
+// Guards against counts that cost more between data centres than the design says.
+#[test]
+fn counts_of_eight_accounts_in_two_windows_fit_in_230_bytes() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let account = |index| format!("tenant{index}").into();
+    let windows = [353_445_120, 353_445_121].map(|window| WindowCounts {
+        window,
+        counts: (0..8).map(|index| (account(index), 100)).collect(),
+    });
+    let counts = CountSnapshot {
+        node: "front-hkd-sap-1".into(),
+        incarnation: 1_767_225_600_000,
+        windows: windows.to_vec(),
+        ..counts()
+    };
+    let datagram = seal.encode_counts(&counts).expect("encoded counts");
+    assert!(datagram.len() <= 230, "{} bytes", datagram.len());
+}
+
 #[test]
 fn counts_are_decoded_as_they_were_encoded_also_with_fields_of_a_later_version() {
     let mut seals = PeerSeals::default();
--- a/crates/apricotknot-gateway/tests/support/usage_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/usage_fleet.rs
@@ -40,6 +40,7 @@
 use apricotknot_gateway::store::WatchBatch;
 use apricotknot_gateway::store::WatchLimits;
 use futures::FutureExt;
+use prometheus_client::metrics::counter::Counter;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -321,6 +322,7 @@
             api: self.api.clone(),
             store: self.store.clone(),
             clock: Box::new(move || now.get()) as Clock,
+            reports: Counter::default(),
             logger: Logger::root(Discard, o!()),
         });
         ReportingNode { usage, permit, reporter }
