usage: expire counts once a window, not at each tick

Cause: each tick went over the counts of all nodes, 20 times a second, also where nothing could expire. Change: the table is cleared of old windows as a window begins.

--- a/crates/apricotknot-core/src/usage/usage_accounting.rs
+++ b/crates/apricotknot-core/src/usage/usage_accounting.rs
@@ -55,6 +55,8 @@
     recipients: Vec<NodeId>,
     /// Requests that became known after the report on their window.
     late_count: u64,
+    /// Window at the last tick.
+    current: WindowNumber,
 }
 
 // Methods that change the state.
@@ -84,6 +86,7 @@
             nodes: vec![NodeId::clone(&node)],
             recipients: Vec::new(),
             late_count: 0,
+            current: 0,
             node,
         }
     }
@@ -103,7 +106,10 @@
     pub fn tick(&mut self, wall: UnixTime, now: MonotonicTime) {
         self.clock.record(&self.node, wall, now);
         self.clock.update(now);
-        self.table.expire(self.window_at(now));
+        let current = self.window_at(now);
+        if std::mem::replace(&mut self.current, current) != current {
+            self.table.expire(current);
+        }
     }
 
     /// Sets the nodes whose counts are expected.
