--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -1,12 +1,12 @@
 //! The duties of one node: their permits and their tasks.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use apricotknot_core::duty::DutyKind;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
+use prometheus_client::metrics::counter::Counter;
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -17,10 +17,11 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
+use super::UsageHandle;
 use super::UsageReporter;
+use super::UsageTools;
 use crate::clock::BootClock;
 use crate::control::ControlState;
-use crate::control::SharedState;
 use crate::store::MetadataStore;
 
 /// Interval between two snapshots for the scaling controller.
@@ -34,6 +35,15 @@
     pub api: A,
 }
 
+/// What the usage reporter shares with the control thread.
+#[derive(Clone)]
+pub(crate) struct UsageParts {
+    /// Counts and reports that the node knows.
+    pub(crate) accounting: UsageHandle,
+    /// Counts the reports that were accepted.
+    pub(crate) reports: Counter,
+}
+
 /// Holds the permits of the duties that this deployment has.
 pub(crate) struct DutyRoster {
     inputs: watch::Sender<Rc<ScalingInputs>>,
@@ -46,7 +56,7 @@
         parts: DutyParts<A>,
         node: &NodeId,
         store: &S,
-        shared: &Arc<SharedState>,
+        usage: Option<UsageParts>,
         logger: &Logger,
     ) -> Self {
         let DutyParts { settings, api } = parts;
@@ -64,8 +74,9 @@
             };
             match kind {
                 DutyKind::UsageReport => {
-                    let reporter = UsageReporter::new(tools, Arc::clone(shared));
-                    actix_rt::spawn(reporter.run());
+                    if let Some(usage) = usage.clone() {
+                        start_reporter(tools, usage);
+                    }
                 },
                 DutyKind::Autoscale => {
                     let controller = ScalingController::new(tools, inputs_reader.clone());
@@ -84,3 +95,18 @@
         }
     }
 }
+
+/// Starts the task that reports usage.
+fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, usage: UsageParts) {
+    let clock = tools.clock;
+    let reporter = UsageReporter::new(UsageTools {
+        accounting: usage.accounting,
+        reports: usage.reports,
+        permit: tools.permit,
+        api: tools.api,
+        store: tools.store,
+        clock: move || clock.now(),
+        logger: tools.logger,
+    });
+    actix_rt::spawn(reporter.run());
+}
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -9,6 +9,7 @@
 use actix_http::KeepAlive;
 use actix_http::ServiceConfigBuilder;
 use actix_rt::net::TcpStream;
+use apricotknot_core::duty::DutyKind;
 use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
@@ -101,8 +102,14 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let counts_usage = settings
+            .duties
+            .as_ref()
+            .is_some_and(|duties| duties.kinds.contains(&DutyKind::UsageReport));
+        let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
-            let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
+            let logger = logger.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -117,12 +124,14 @@
                     .duties
                     .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
                 shared,
+                metrics,
                 logger,
             }
         };
         let (control, _) = start_control(parts)?;
         let context = TrafficContext {
             node: name,
+            counts_usage,
             reserved_idle_time,
             protocol,
             http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
@@ -130,7 +139,7 @@
             control,
             clock: BootClock,
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
-            metrics: Arc::new(GatewayMetrics::new()),
+            metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
