--- a/crates/apricotknot-core/src/fleet/endpoint_leaving.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_leaving.rs
@@ -100,7 +100,7 @@
 
 impl FleetState {
     /// Returns whether an answer of this incarnation of an endpoint said that it leaves.
-    pub(super) fn is_leaving(&self, state: &EndpointState) -> bool {
+    pub fn is_leaving(&self, state: &EndpointState) -> bool {
         let mark = self.leaving.marks.get(&state.entry.id);
         mark.is_some_and(|mark| mark.incarnation == state.entry.incarnation)
     }
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -7,6 +7,7 @@
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::ServiceId;
+use apricotknot_core::types::TokenCount;
 use tokio::sync::oneshot;
 
 use super::EndpointGrant;
@@ -75,6 +76,12 @@
         self.requests.iter().filter(|waiting| waiting.request.query.service == *service).count()
     }
 
+    /// Returns the prompt of each request of `service` that waits, in tokens.
+    pub(super) fn prompts_for(&self, service: &ServiceId) -> Vec<TokenCount> {
+        let queries = self.requests.iter().map(|waiting| &waiting.request.query);
+        queries.filter(|query| query.service == *service).map(|query| query.size.prompt).collect()
+    }
+
     /// Returns the snapshots of waiting requests that are sent to other nodes, up to a limit.
     pub(super) fn snapshots(&self, now: MonotonicTime) -> Vec<WaitSnapshot> {
         let reported = self.requests.iter().take(FleetState::max_wait_snapshots());
