--- a/crates/apricotknot-gateway/src/control/feed.rs
+++ b/crates/apricotknot-gateway/src/control/feed.rs
@@ -15,6 +15,7 @@
 use super::StoreUpdate;
 use super::registry;
 use crate::clock::BootClock;
+use crate::duties::DutyChange;
 use crate::protocol::RecordChange;
 use crate::protocol::RecordTranslator;
 use crate::protocol::TranslationError;
@@ -187,7 +188,9 @@
                 self.failures = 0;
                 self.observe_era(range.era).await;
                 let is_restored = std::mem::take(&mut self.is_restored);
-                let mut update = StoreUpdate { is_restored, ..StoreUpdate::default() };
+                let (era, revision) = (range.era, range.revision);
+                let mut update =
+                    StoreUpdate { is_restored, era, revision, ..StoreUpdate::default() };
                 for entry in &range.entries {
                     self.read_entry(entry, &mut update).await;
                 }
@@ -279,11 +282,13 @@
     }
 
     async fn send_changes(&mut self, batch: &WatchBatch, as_of: MonotonicTime) {
-        let mut update = StoreUpdate::default();
+        let (era, revision) = (batch.era, batch.revision);
+        let mut update = StoreUpdate { era, revision, ..StoreUpdate::default() };
         for event in &batch.events {
             match event {
                 WatchEvent::Put(entry) => self.read_entry(entry, &mut update).await,
-                WatchEvent::Delete { key, .. } => {
+                WatchEvent::Delete { key, revision } => {
+                    update.duty_changes.extend(DutyChange::of_removal(key, *revision));
                     update.record_changes.extend(self.translator.translate_delete(key));
                     update.registry_changes.extend(registry::parse_delete(key));
                 },
@@ -300,6 +305,7 @@
             return self.read_kept_configuration(entry, update).await;
         }
         update.registry_changes.extend(registry::parse_put(&entry.key, &entry.value));
+        update.duty_changes.extend(DutyChange::of_entry(entry));
         match self.translator.translate_put(&entry.key, &entry.value, self.clock.now()) {
             Ok(record) => update.record_changes.extend(record),
             Err(error) => self.send(FeedEvent::Skipped(error)).await,
--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -14,6 +14,7 @@
     /// Applies what was read from the key-value service, and logs it.
     pub(super) fn handle_feed(&mut self, event: FeedEvent) {
         let now = self.clock.now();
+        self.observe_duties(&event, now);
         let mut delivery = BatchDelivery::default();
         let (newest, as_of) = match event {
             FeedEvent::Snapshot { update, as_of } => {
@@ -95,6 +96,19 @@
         }
     }
 
+    /// Tells the duties what was read.
+    fn observe_duties(&self, event: &FeedEvent, now: MonotonicTime) {
+        let Some(duties) = &self.duties else {
+            return;
+        };
+        match event {
+            FeedEvent::Snapshot { update, .. } => duties.observe_snapshot(update, now),
+            FeedEvent::Changes { update, .. } => duties.observe_changes(update, now),
+            FeedEvent::Restored { found, .. } => duties.observe_restored(*found, now),
+            _ => {},
+        }
+    }
+
     /// Writes the node's own records again, as the key-value service may have lost them.
     fn write_records_again(&self) {
         self.announcer_signals.restored.notify_one();
--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -51,6 +51,7 @@
 use crate::duties::DutyApi;
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
+use crate::duties::RosterContext;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -188,7 +189,14 @@
         let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
         actix_rt::spawn(record_keeper.run());
         let duties = parts.duties.map(|duties| {
-            DutyRoster::start(duties, &parts.node, &parts.store, &parts.shared, &logger)
+            let context = RosterContext {
+                node: Arc::clone(&parts.node),
+                incarnation: parts.incarnation,
+                store: parts.store.clone(),
+                shared: Arc::clone(&parts.shared),
+                logger: logger.clone(),
+            };
+            DutyRoster::start(duties, context)
         });
         let announcer = NodeAnnouncer::new(
             parts.store,
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::clock::millis;
+use crate::duties::DutyStatus;
 use crate::peers::PeerSeals;
 
 /// Limits the age of the configuration by which requests are admitted and denied.
@@ -29,6 +30,7 @@
 pub struct SharedState {
     desired: watch::Sender<Option<Arc<DesiredState>>>,
     peer_seals: watch::Sender<PeerSeals>,
+    duties: watch::Sender<Vec<DutyStatus>>,
     confirmed_at_ms: AtomicU64,
     /// Time at which the node ends, in milliseconds, or 0 if it is not about to stop.
     stop_end_ms: AtomicU64,
@@ -45,6 +47,7 @@
         Self {
             desired: watch::Sender::new(None),
             peer_seals: watch::Sender::new(PeerSeals::default()),
+            duties: watch::Sender::new(Vec::new()),
             confirmed_at_ms: AtomicU64::new(0),
             stop_end_ms: AtomicU64::new(0),
             is_ending: watch::Sender::new(false),
@@ -64,6 +67,11 @@
         self.peer_seals.send_replace(seals);
     }
 
+    /// Publishes what this node knows about the duties.
+    pub fn set_duties(&self, duties: Vec<DutyStatus>) {
+        self.duties.send_replace(duties);
+    }
+
     /// Records that the configuration in force was the newest one at `moment`.
     pub fn confirm_as_of(&self, moment: MonotonicTime) {
         self.confirmed_at_ms.fetch_max(millis(moment), Ordering::Release);
@@ -97,6 +105,11 @@
         self.desired.borrow().clone()
     }
 
+    /// Returns what this node knows about the duties; empty if there are none.
+    pub fn duties(&self) -> Vec<DutyStatus> {
+        self.duties.borrow().clone()
+    }
+
     /// Returns the seals with which nodes prove that they belong to the fleet.
     pub fn peer_seals(&self) -> PeerSeals {
         self.peer_seals.borrow().clone()
--- a/crates/apricotknot-gateway/src/control/store_update.rs
+++ b/crates/apricotknot-gateway/src/control/store_update.rs
@@ -1,7 +1,11 @@
 //! Records that were read from the key-value service.
 
+use apricotknot_core::types::RevisionNumber;
+
 use super::RegistryChange;
+use crate::duties::DutyChange;
 use crate::protocol::RecordChange;
+use crate::store::EraNumber;
 
 /// Holds the records that were read, or that have changed.
 #[derive(Debug, Default)]
@@ -10,6 +14,12 @@
     pub record_changes: Vec<RecordChange>,
     /// Changes of the gateway's own records.
     pub registry_changes: Vec<RegistryChange>,
+    /// Changes of the keys of duties.
+    pub duty_changes: Vec<DutyChange>,
+    /// Era of the service.
+    pub era: EraNumber,
+    /// Revision up to which this is what the service holds.
+    pub revision: RevisionNumber,
     /// Whether the service has come back from an older copy since the update before.
     pub is_restored: bool,
 }
--- /dev/null
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -0,0 +1,183 @@
+//! One duty at one node: its holder, its permit, and what is said about them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use apricotknot_core::duty::DutyAction;
+use apricotknot_core::duty::DutyContents;
+use apricotknot_core::duty::DutyHolder;
+use apricotknot_core::duty::DutyKind;
+use apricotknot_core::duty::DutyNotice;
+use apricotknot_core::duty::DutyOutcome;
+use apricotknot_core::fleet::NodePosition;
+use apricotknot_core::types::FencingNumber;
+use apricotknot_core::types::MonotonicTime;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+
+use super::DutyMetrics;
+use super::DutyPermit;
+use super::DutyStatus;
+use super::DutyTerm;
+use super::duty_store::DutyStore;
+use crate::clock::BootClock;
+use crate::clock::millis;
+use crate::store::MetadataStore;
+
+/// Position of a node that does not compete.
+const ALONE: NodePosition = NodePosition { index: 0, count: 1 };
+
+/// Holds the state of one duty; all clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct DutyDesk {
+    kind: DutyKind,
+    holder: Rc<RefCell<DutyHolder>>,
+    permit: DutyPermit,
+    metrics: DutyMetrics,
+    logger: Logger,
+}
+
+impl DutyDesk {
+    pub(super) fn new(
+        kind: DutyKind,
+        holder: DutyHolder,
+        permit: DutyPermit,
+        metrics: DutyMetrics,
+        logger: Logger,
+    ) -> Self {
+        Self { kind, holder: Rc::new(RefCell::new(holder)), permit, metrics, logger }
+    }
+
+    /// Records what the key-value service holds for the duty.
+    pub(super) fn observe(&self, contents: DutyContents, is_change: bool, now: MonotonicTime) {
+        self.change(|holder| match is_change {
+            true => holder.observe_change(contents, now),
+            false => holder.observe(contents, now),
+        });
+    }
+
+    /// Records that the key-value service answered in `era`.
+    pub(super) fn observe_era(&self, era: u64, now: MonotonicTime) {
+        self.change(|holder| holder.observe_era(era, now));
+    }
+
+    /// Gives the duty up, as the node stops.
+    pub(super) fn withdraw(&self, now: MonotonicTime) {
+        self.change(|holder| holder.withdraw(now));
+    }
+
+    /// Records the end of a call of the platform.
+    pub(super) fn record_platform(&self, is_answered: bool, now: MonotonicTime) {
+        if !is_answered {
+            self.metrics.failed_calls(self.kind).inc();
+        }
+        self.change(|holder| holder.record_platform(is_answered, now));
+    }
+
+    /// Records that the platform refused `fence`.
+    pub(super) fn record_fenced(&self, fence: FencingNumber, now: MonotonicTime) {
+        self.metrics.refusals(self.kind).inc();
+        self.change(|holder| holder.record_fenced(fence, now));
+    }
+
+    /// Returns the call to make next; `position` is that of this node among the candidates.
+    pub(super) fn next_action(
+        &self,
+        position: impl FnOnce() -> NodePosition,
+        now: MonotonicTime,
+    ) -> Option<DutyAction> {
+        let mut action = None;
+        self.change(|holder| action = holder.next_action(position(), now));
+        action
+    }
+
+    /// Makes the calls that arrive at `actions`, one after the other.
+    pub(super) async fn run<S: MetadataStore>(
+        self,
+        store: S,
+        mut actions: mpsc::UnboundedReceiver<DutyAction>,
+        clock: BootClock,
+    ) {
+        let store = DutyStore::new(store, self.kind);
+        while let Some(action) = actions.recv().await {
+            let (outcome, error) = store.carry_out(action).await;
+            if let Some(error) = error {
+                warn!(
+                    self.logger, "duty: call of the key-value service failed; going on without it";
+                    "duty" => self.kind.name(), "error" => %error
+                );
+            }
+            self.complete(outcome, clock.now());
+            // A granted lease is used at once; candidates wait for their turn.
+            if !self.holder.borrow().is_candidate()
+                && let Some(next) = self.next_action(|| ALONE, clock.now())
+            {
+                self.complete(store.carry_out(next).await.0, clock.now());
+            }
+        }
+    }
+
+    fn complete(&self, outcome: DutyOutcome, now: MonotonicTime) {
+        self.change(|holder| holder.complete(outcome, now));
+    }
+
+    /// Changes the holder, and publishes its term and its notices.
+    fn change(&self, change: impl FnOnce(&mut DutyHolder)) {
+        let mut holder = self.holder.borrow_mut();
+        change(&mut holder);
+        let term = holder.term().map(|term| DutyTerm {
+            fence: term.fence,
+            since: term.since,
+            until: term.until,
+        });
+        self.permit.set_term(term);
+        self.metrics.set_held(self.kind, term.is_some());
+        for notice in holder.take_notices() {
+            self.log(&notice);
+        }
+    }
+
+    fn log(&self, notice: &DutyNotice) {
+        let kind = self.kind.name();
+        match notice {
+            DutyNotice::Taken { fence, acts_in } => {
+                self.metrics.terms(self.kind).inc();
+                info!(
+                    self.logger, "duty: taken; acting once the former holder is over";
+                    "duty" => kind, "fence" => fence, "acts_in_ms" => millis(*acts_in)
+                );
+            },
+            DutyNotice::Resumed { fence, pause } => warn!(
+                self.logger, "duty: lease renewed late; acting again";
+                "duty" => kind, "fence" => fence, "pause_ms" => millis(*pause)
+            ),
+            DutyNotice::Ended { fence, end } => info!(
+                self.logger, "duty: term over; acting no more";
+                "duty" => kind, "fence" => fence, "cause" => end.name()
+            ),
+        }
+    }
+}
+
+impl DutyDesk {
+    /// Returns the duty.
+    pub(super) fn kind(&self) -> DutyKind {
+        self.kind
+    }
+
+    /// Returns what this node knows about the duty.
+    pub(super) fn status(&self, now: MonotonicTime) -> DutyStatus {
+        let holder = self.holder.borrow();
+        let known = holder.known_holder();
+        DutyStatus {
+            duty: self.kind.name(),
+            holder: known.map(|(record, _)| record.holder.clone()),
+            fence: known.map(|(_, fence)| fence),
+            is_released: known.is_some_and(|(record, _)| record.is_released),
+            acts_here: self.permit.term(now).is_some(),
+            held_here_ms: self.permit.term(now).map(|term| millis(now.saturating_sub(term.since))),
+        }
+    }
+}
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -4,13 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::duty::DutyAction;
+use apricotknot_core::duty::DutyContents;
+use apricotknot_core::duty::DutyHolder;
 use apricotknot_core::duty::DutyKind;
+use apricotknot_core::duty::DutyLimits;
+use apricotknot_core::fleet::NodeOrder;
+use apricotknot_core::fleet::NodePosition;
+use apricotknot_core::membership::hash_text;
+use apricotknot_core::types::IncarnationNumber;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
 use slog::Logger;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use super::DutyApi;
+use super::DutyMetrics;
 use super::DutyPermit;
 use super::DutySettings;
 use super::DutyTools;
@@ -18,11 +28,17 @@
 use super::ScalingController;
 use super::ScalingInputs;
 use super::UsageReporter;
+use super::duty_desk::DutyDesk;
 use crate::clock::BootClock;
 use crate::control::ControlState;
 use crate::control::SharedState;
+use crate::control::StoreUpdate;
+use crate::store::EraNumber;
 use crate::store::MetadataStore;
 
+/// Shortest interval between two checks whether a call is due.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between two snapshots for the scaling controller.
 const INPUTS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -32,39 +48,54 @@
     pub settings: DutySettings,
     /// API through which duties are performed.
     pub api: A,
+    /// Metrics of the duties.
+    pub metrics: DutyMetrics,
+}
+
+/// Duty with the channel to the task that makes its calls of the key-value service.
+struct StaffedDuty {
+    desk: DutyDesk,
+    actions: mpsc::UnboundedSender<DutyAction>,
 }
 
-/// Holds the permits of the duties that this deployment has.
+/// Holds the duties that this deployment has.
 pub(crate) struct DutyRoster {
+    duties: Vec<StaffedDuty>,
+    node: NodeId,
+    shared: Arc<SharedState>,
     inputs: watch::Sender<Rc<ScalingInputs>>,
     inputs_at: MonotonicTime,
+    ticked_at: MonotonicTime,
+}
+
+/// What the tasks of all duties share.
+pub(crate) struct RosterContext<S> {
+    /// Name of the node.
+    pub(crate) node: NodeId,
+    /// Incarnation of the node.
+    pub(crate) incarnation: IncarnationNumber,
+    /// Client of the key-value service.
+    pub(crate) store: S,
+    /// State that is shared with the traffic threads.
+    pub(crate) shared: Arc<SharedState>,
+    /// Logger of the control thread.
+    pub(crate) logger: Logger,
 }
 
 impl DutyRoster {
     /// Starts the tasks of all duties on the current actix system.
     pub(crate) fn start<S: MetadataStore, A: DutyApi>(
         parts: DutyParts<A>,
-        node: &NodeId,
-        store: &S,
-        shared: &Arc<SharedState>,
-        logger: &Logger,
+        context: RosterContext<S>,
     ) -> Self {
-        let DutyParts { settings, api } = parts;
         let (inputs, inputs_reader) = watch::channel(Rc::default());
-        for kind in settings.kinds.clone() {
-            let (clock, permit) = (BootClock, DutyPermit::new(NodeId::clone(node)));
-            let tools = DutyTools {
-                node: NodeId::clone(node),
-                permit: permit.clone(),
-                api: PermittedApi::new(api.clone(), permit, clock),
-                store: store.clone(),
-                clock,
-                settings: settings.clone(),
-                logger: logger.clone(),
-            };
+        let mut duties = Vec::new();
+        for kind in parts.settings.kinds.clone() {
+            let (duty, tools) = staff(kind, &parts, &context);
+            duties.push(duty);
             match kind {
                 DutyKind::UsageReport => {
-                    let reporter = UsageReporter::new(tools, Arc::clone(shared));
+                    let reporter = UsageReporter::new(tools, Arc::clone(&context.shared));
                     actix_rt::spawn(reporter.run());
                 },
                 DutyKind::Autoscale => {
@@ -73,14 +104,101 @@
                 },
             }
         }
-        Self { inputs, inputs_at: MonotonicTime::ZERO }
+        let RosterContext { node, shared, .. } = context;
+        let (inputs_at, ticked_at) = (MonotonicTime::ZERO, MonotonicTime::ZERO);
+        Self { duties, node, shared, inputs, inputs_at, ticked_at }
     }
 
-    /// Sends the scaling controller a snapshot of `state` if one is due.
+    /// Records the whole content of the key-value service.
+    pub(crate) fn observe_snapshot(&self, update: &StoreUpdate, now: MonotonicTime) {
+        for duty in &self.duties {
+            let mut found = update.duty_changes.iter();
+            let found = found.find(|change| change.kind == duty.desk.kind());
+            let contents = DutyContents {
+                era: update.era,
+                revision: update.revision,
+                entry: found.and_then(|change| change.entry.clone()),
+            };
+            duty.desk.observe(contents, false, now);
+        }
+    }
+
+    /// Records changes of the key-value service.
+    pub(crate) fn observe_changes(&self, update: &StoreUpdate, now: MonotonicTime) {
+        for change in &update.duty_changes {
+            let changed = self.duties.iter().filter(|duty| duty.desk.kind() == change.kind);
+            for duty in changed {
+                let contents = DutyContents {
+                    era: update.era,
+                    revision: change.revision,
+                    entry: change.entry.clone(),
+                };
+                duty.desk.observe(contents, true, now);
+            }
+        }
+    }
+
+    /// Records that the key-value service came back from a copy.
+    pub(crate) fn observe_restored(&self, era: EraNumber, now: MonotonicTime) {
+        for duty in &self.duties {
+            duty.desk.observe_era(era, now);
+        }
+    }
+
+    /// Has the calls made that are due, and sends the scaling controller a snapshot if one is due.
     pub(crate) fn tick(&mut self, state: &ControlState, now: MonotonicTime) {
+        if now < self.ticked_at + TICK_INTERVAL {
+            return;
+        }
+        self.ticked_at = now;
+        let is_stopping = self.shared.is_stopping();
+        for duty in &self.duties {
+            if is_stopping {
+                duty.desk.withdraw(now);
+            }
+            let position = || candidate_position(&self.node, duty.desk.kind(), state);
+            if let Some(action) = duty.desk.next_action(position, now) {
+                // A closed channel means that the control thread ends.
+                let _ = duty.actions.send(action);
+            }
+        }
         if now >= self.inputs_at + INPUTS_INTERVAL {
             self.inputs_at = now;
             self.inputs.send_replace(Rc::new(state.scaling_inputs(now)));
+            let statuses = self.duties.iter().map(|duty| duty.desk.status(now));
+            self.shared.set_duties(statuses.collect());
         }
     }
 }
+
+/// Creates one duty and what its task works with, and starts the task of its holder.
+fn staff<S: MetadataStore, A: DutyApi>(
+    kind: DutyKind,
+    parts: &DutyParts<A>,
+    context: &RosterContext<S>,
+) -> (StaffedDuty, DutyTools<S, PermittedApi<A>>) {
+    let (clock, node) = (BootClock, NodeId::clone(&context.node));
+    let permit = DutyPermit::new(NodeId::clone(&node));
+    let limits = DutyLimits::new(parts.settings.lease_time);
+    let holder = DutyHolder::new(NodeId::clone(&node), context.incarnation, limits);
+    let logger = context.logger.clone();
+    let desk = DutyDesk::new(kind, holder, permit.clone(), parts.metrics.clone(), logger.clone());
+    let (actions, due_actions) = mpsc::unbounded_channel();
+    actix_rt::spawn(desk.clone().run(context.store.clone(), due_actions, clock));
+    let tools = DutyTools {
+        node,
+        permit: permit.clone(),
+        api: PermittedApi::new(parts.api.clone(), permit, desk.clone(), clock),
+        store: context.store.clone(),
+        clock,
+        settings: parts.settings.clone(),
+        logger,
+    };
+    (StaffedDuty { desk, actions }, tools)
+}
+
+/// Returns the position of this node among those that compete for a duty.
+fn candidate_position(node: &NodeId, kind: DutyKind, state: &ControlState) -> NodePosition {
+    let names = state.registry().names();
+    NodeOrder::new(node, &names).position(hash_text(0, kind.name()))
+}
--- a/crates/apricotknot-gateway/src/duties/permitted_api.rs
+++ b/crates/apricotknot-gateway/src/duties/permitted_api.rs
@@ -10,6 +10,7 @@
 use super::DutyApiError;
 use super::DutyCall;
 use super::DutyPermit;
+use super::duty_desk::DutyDesk;
 use crate::clock::BootClock;
 
 /// Makes the calls of one duty through another API, each only while its term lasts.
@@ -19,13 +20,14 @@
 pub struct PermittedApi<A> {
     api: A,
     permit: DutyPermit,
+    desk: DutyDesk,
     clock: BootClock,
 }
 
 impl<A: DutyApi> PermittedApi<A> {
-    /// Creates the API of the duty that `permit` is for.
-    pub fn new(api: A, permit: DutyPermit, clock: BootClock) -> Self {
-        Self { api, permit, clock }
+    /// Creates the API of the duty that `permit` and `desk` are for.
+    pub(super) fn new(api: A, permit: DutyPermit, desk: DutyDesk, clock: BootClock) -> Self {
+        Self { api, permit, desk, clock }
     }
 
     async fn make<F>(&self, call: &DutyCall, exchange: F) -> Result<DutyAnswer, DutyApiError>
@@ -36,9 +38,15 @@
             return Err(DutyApiError::TermOver { fence: call.fence });
         }
         let answer = exchange.await;
+        let now = self.clock.now();
         if let Ok(DutyAnswer::Fenced) = answer {
             self.permit.end_term(call.fence);
+            self.desk.record_fenced(call.fence, now);
         }
+        // A refusal shows that the platform can be reached.
+        let is_unanswered =
+            matches!(answer, Err(DutyApiError::Broken { .. } | DutyApiError::TimedOut { .. }));
+        self.desk.record_platform(!is_unanswered, now);
         answer
     }
 }
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -101,8 +101,10 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
             let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let duty_metrics = metrics.duties.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -113,9 +115,11 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
-                duties: settings
-                    .duties
-                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
+                duties: settings.duties.map(|settings| DutyParts {
+                    api: duty_api(settings.address),
+                    settings,
+                    metrics: duty_metrics,
+                }),
                 shared,
                 logger,
             }
@@ -130,7 +134,7 @@
             control,
             clock: BootClock,
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
-            metrics: Arc::new(GatewayMetrics::new()),
+            metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
--- a/crates/apricotknot-gateway/src/operations.rs
+++ b/crates/apricotknot-gateway/src/operations.rs
@@ -1,4 +1,4 @@
-//! HTTP interface for the balancer and for operators: readiness and metrics.
+//! HTTP interface for the balancer and for operators: readiness, duties and metrics.
 
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
@@ -44,6 +44,10 @@
                 (StatusCode::OK, Bytes::from_static(b"ready\n"))
             },
             "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+            "/duties" => {
+                let duties = serde_json::to_vec(&self.context.shared.duties());
+                (StatusCode::OK, duties.unwrap_or_default().into())
+            },
             "/metrics" => (StatusCode::OK, self.context.metrics.render().into()),
             _ => (StatusCode::NOT_FOUND, Bytes::new()),
         }
--- a/crates/apricotknot-standin/src/users_platform/metadata.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata.rs
@@ -160,6 +160,11 @@
         self.lock().items.get(key).map(|item| item.value.clone())
     }
 
+    /// Returns the number of leases that were granted since the start or the last copy.
+    pub fn granted_leases(&self) -> i64 {
+        self.lock().granted_leases()
+    }
+
     fn lock(&self) -> MutexGuard<'_, MetadataState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/apricotknot-standin/src/users_platform/metadata_state.rs
+++ b/crates/apricotknot-standin/src/users_platform/metadata_state.rs
@@ -94,6 +94,11 @@
         lease
     }
 
+    /// Returns the number of leases that were granted.
+    pub(super) fn granted_leases(&self) -> i64 {
+        self.next_lease - 1
+    }
+
     /// Renews a lease; returns whether it exists.
     pub(super) fn renew_lease(&mut self, lease: i64) -> bool {
         let Some((ttl, expires_at)) = self.leases.get_mut(&lease) else {
