--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -54,6 +54,7 @@
 use crate::duties::DutyApi;
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
+use crate::duties::RosterContext;
 use crate::duties::UsageHandle;
 use crate::duties::UsageParts;
 use crate::protocol::RecordTranslator;
@@ -210,7 +211,14 @@
             reports: parts.metrics.usage_reports.clone(),
         });
         let duties = parts.duties.map(|duties| {
-            DutyRoster::start(duties, &parts.node, &parts.store, usage_parts, &logger)
+            let context = RosterContext {
+                node: Arc::clone(&parts.node),
+                incarnation: parts.incarnation,
+                store: parts.store.clone(),
+                shared: Arc::clone(&parts.shared),
+                logger: logger.clone(),
+            };
+            DutyRoster::start(duties, context, usage_parts)
         });
         let announcer = NodeAnnouncer::new(
             parts.store,
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -109,7 +109,7 @@
         let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
             let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
-            let logger = logger.clone();
+            let (logger, duty_metrics) = (logger.clone(), metrics.duties.clone());
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -120,9 +120,11 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
-                duties: settings
-                    .duties
-                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
+                duties: settings.duties.map(|settings| DutyParts {
+                    api: duty_api(settings.address),
+                    settings,
+                    metrics: duty_metrics,
+                }),
                 shared,
                 metrics,
                 logger,
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::duties::DutyMetrics;
+
 /// Upper bound of the smallest bucket of duration histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
 
@@ -51,6 +53,8 @@
     pub late_usage: Counter,
     /// Usage reports of this node that were accepted.
     pub usage_reports: Counter,
+    /// Duties of this node.
+    pub duties: DutyMetrics,
 }
 
 impl GatewayMetrics {
@@ -76,6 +80,8 @@
         registry.register("counted_requests", "Requests counted", counted_requests.clone());
         registry.register("late_usage", "Requests in no usage report", late_usage.clone());
         registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
+        let duties = DutyMetrics::default();
+        duties.register(&mut registry);
         Self {
             registry,
             calls,
@@ -87,6 +93,7 @@
             counted_requests,
             late_usage,
             usage_reports,
+            duties,
         }
     }
 
--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -14,9 +14,11 @@
 use apricotknot_core::scaling::ScalingLimits;
 use apricotknot_core::scaling::ScalingOrder;
 use apricotknot_core::scaling::ServiceSample;
+use apricotknot_core::types::FencingNumber;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::usage::UsageReport;
 use apricotknot_gateway::clock::BootClock;
+use apricotknot_gateway::duties::CallObserver;
 use apricotknot_gateway::duties::DutyAnswer;
 use apricotknot_gateway::duties::DutyApi;
 use apricotknot_gateway::duties::DutyApiError;
@@ -77,6 +79,16 @@
     }
 }
 
+/// Leaves the term to the test.
+#[derive(Clone)]
+struct NoObserver;
+
+impl CallObserver for NoObserver {
+    fn record_fenced(&self, _: FencingNumber, _: MonotonicTime) {}
+
+    fn record_platform(&self, _: bool, _: MonotonicTime) {}
+}
+
 /// A running controller, with the time that its snapshots say.
 struct TestController {
     api: RecordingApi,
@@ -93,7 +105,7 @@
         let tools = DutyTools {
             node: "node-1".into(),
             permit: permit.clone(),
-            api: PermittedApi::new(api.clone(), permit.clone(), BootClock),
+            api: PermittedApi::new(api.clone(), permit.clone(), NoObserver, BootClock),
             store: (),
             clock: BootClock,
             settings: settings(),
