--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -46,6 +46,7 @@
 pub use load_snapshot::WorkSnapshot;
 pub use node_order::NodeOrder;
 pub use node_order::NodePosition;
+pub use node_order::first_nodes;
 pub use part_history::PartAnswerReport;
 pub use part_history::PartCrashReport;
 pub use part_history::PartHistory;
--- a/crates/apricotknot-core/src/fleet/node_order.rs
+++ b/crates/apricotknot-core/src/fleet/node_order.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Returns the first `count` of `nodes` in the order that begins at `start`.
+///
+/// It is the order of [`NodeOrder::position`].
+pub fn first_nodes(nodes: &[NodeId], start: u64, count: usize) -> Vec<NodeId> {
+    let mut ordered = nodes.to_vec();
+    ordered.sort_by_cached_key(|node| node_point(node).wrapping_sub(start));
+    ordered.truncate(count);
+    ordered
+}
+
 fn node_point(node: &str) -> u64 {
     hash_text(0, node)
 }
--- a/crates/apricotknot-core/tests/fleet_limits.rs
+++ b/crates/apricotknot-core/tests/fleet_limits.rs
@@ -9,6 +9,7 @@
 use apricotknot_core::fleet::RetryLimiter;
 use apricotknot_core::fleet::RetryPolicy;
 use apricotknot_core::fleet::SharedRate;
+use apricotknot_core::fleet::first_nodes;
 use apricotknot_core::types::NodeId;
 
 const POLICY: RetryPolicy =
@@ -153,6 +154,9 @@
             .collect();
         indices.sort_unstable();
         assert!(indices.into_iter().eq(0..names.len()), "each position is taken once");
+        for (index, name) in first_nodes(&names, endpoint, 3).iter().enumerate() {
+            assert_eq!(NodeOrder::new(name, &names).position(endpoint).index, index);
+        }
         Ok(())
     });
 }
