--- a/crates/apricotknot-core/src/scaling/load_sample.rs
+++ b/crates/apricotknot-core/src/scaling/load_sample.rs
@@ -45,7 +45,7 @@
         let endpoints: BTreeSet<&EndpointId> = endpoints.map(|state| &state.entry.id).collect();
         let mut sample = Self::default();
         for work in fleet.work_items(now).filter(|work| endpoints.contains(&work.endpoint)) {
-            sample.add(work, engine);
+            sample.add(work, engine, now);
         }
         if let Some(engine) = engine {
             let peer_waits = fleet.peer_waits(now).map(|(_, prompt, _)| prompt);
@@ -55,13 +55,13 @@
         sample
     }
 
-    fn add(&mut self, work: &WorkItem, engine: Option<&EngineModel>) {
+    fn add(&mut self, work: &WorkItem, engine: Option<&EngineModel>, now: MonotonicTime) {
         self.memory = self.memory.saturating_add(work.memory);
         if work.role == WorkRole::Runner {
             self.running += 1;
         }
         if let (WorkPhase::Prefill, Some(engine)) = (work.phase, engine) {
-            self.prefilling += prefill_fraction(work, engine);
+            self.prefilling += prefill_fraction(work, engine, now);
         }
     }
 }
@@ -80,11 +80,16 @@
     }
 }
 
-/// Returns the fraction of the prefill phase in which the endpoint prefills.
+/// Returns the fraction of an endpoint that prefills for `work` at `now`.
 ///
-/// In the rest of the phase, the request or the first event of its answer is on its way.
-fn prefill_fraction(work: &WorkItem, engine: &EngineModel) -> f64 {
-    let prefill = work.prefill_time.as_secs_f64();
+/// Over a prefill phase of the expected length it sums up to the prefill time; in the rest of the phase,
+/// the request or the first event is on its way. A longer phase was spent in the queue of an
+/// endpoint that prefills for others, for which these count already.
+fn prefill_fraction(work: &WorkItem, engine: &EngineModel, now: MonotonicTime) -> f64 {
     let rest = engine.event_interval(1, work.prompt) + NETWORK_TIME;
-    prefill / (prefill + rest.as_secs_f64())
+    let phase = work.prefill_time + rest;
+    match now.saturating_sub(work.since) < phase {
+        true => work.prefill_time.as_secs_f64() / phase.as_secs_f64(),
+        false => 0.0,
+    }
 }
--- a/crates/apricotknot-core/tests/scaling.rs
+++ b/crates/apricotknot-core/tests/scaling.rs
@@ -104,12 +104,12 @@
 
 #[test]
 fn crashed_endpoints_are_not_ordered_while_they_start_again() {
-    let mut fleet = FakeFleet::new(20, 2, 60);
+    let mut fleet = FakeFleet::new(16, 2, 60);
     fleet.run(seconds(30), 30.0);
     fleet.crash("a", 10, seconds(10));
     fleet.run(seconds(30), 30.0);
     assert!(fleet.orders.is_empty(), "{:?}", fleet.orders);
-    fleet.crash("a", 20, seconds(3_600));
+    fleet.crash("a", 16, seconds(3_600));
     fleet.run(seconds(60), 44.0);
     assert!(fleet.total() >= 58, "{}", fleet.total());
 }
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -17,6 +17,7 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
+use super::ScalingMetrics;
 use super::UsageReporter;
 use crate::clock::BootClock;
 use crate::control::ControlState;
@@ -32,6 +33,8 @@
     pub settings: DutySettings,
     /// API through which duties are performed.
     pub api: A,
+    /// Metrics of the endpoints that are ordered.
+    pub scaling_metrics: ScalingMetrics,
 }
 
 /// Holds the permits of the duties that this deployment has.
@@ -49,7 +52,7 @@
         shared: &Arc<SharedState>,
         logger: &Logger,
     ) -> Self {
-        let DutyParts { settings, api } = parts;
+        let DutyParts { settings, api, scaling_metrics } = parts;
         let (inputs, inputs_reader) = watch::channel(Rc::default());
         for kind in settings.kinds.clone() {
             let (clock, permit) = (BootClock, DutyPermit::new(NodeId::clone(node)));
@@ -68,7 +71,11 @@
                     actix_rt::spawn(reporter.run());
                 },
                 DutyKind::Autoscale => {
-                    let controller = ScalingController::new(tools, inputs_reader.clone());
+                    let controller = ScalingController::new(
+                        tools,
+                        inputs_reader.clone(),
+                        scaling_metrics.clone(),
+                    );
                     actix_rt::spawn(controller.run());
                 },
             }
--- a/crates/apricotknot-gateway/src/duties/mod.rs
+++ b/crates/apricotknot-gateway/src/duties/mod.rs
@@ -9,6 +9,7 @@
 mod permitted_api;
 mod scaling_controller;
 mod scaling_inputs;
+mod scaling_metrics;
 mod usage_reporter;
 
 pub use duty_api::DutyAnswer;
@@ -24,4 +25,5 @@
 pub use permitted_api::PermittedApi;
 pub use scaling_controller::ScalingController;
 pub use scaling_inputs::ScalingInputs;
+pub use scaling_metrics::ScalingMetrics;
 pub use usage_reporter::UsageReporter;
--- a/crates/apricotknot-gateway/src/duties/scaling_controller.rs
+++ b/crates/apricotknot-gateway/src/duties/scaling_controller.rs
@@ -20,6 +20,7 @@
 use super::DutyApiError;
 use super::DutyTools;
 use super::ScalingInputs;
+use super::ScalingMetrics;
 use crate::clock::millis;
 
 /// How the call of one order ended.
@@ -35,6 +36,7 @@
 pub struct ScalingController<S, A> {
     tools: DutyTools<S, A>,
     inputs: watch::Receiver<Rc<ScalingInputs>>,
+    metrics: ScalingMetrics,
     scalers: BTreeMap<ServiceId, ServiceScaler>,
     /// Term in which the open orders were sent.
     fence: Option<FencingNumber>,
@@ -43,10 +45,14 @@
 
 impl<S, A: DutyApi> ScalingController<S, A> {
     /// Creates the controller of a node; `inputs` shows the newest snapshot.
-    pub fn new(tools: DutyTools<S, A>, inputs: watch::Receiver<Rc<ScalingInputs>>) -> Self {
+    pub fn new(
+        tools: DutyTools<S, A>,
+        inputs: watch::Receiver<Rc<ScalingInputs>>,
+        metrics: ScalingMetrics,
+    ) -> Self {
         // The receiver is created in `run`.
         let (outcomes, _) = mpsc::unbounded_channel();
-        Self { tools, inputs, scalers: BTreeMap::new(), fence: None, outcomes }
+        Self { tools, inputs, metrics, scalers: BTreeMap::new(), fence: None, outcomes }
     }
 
     /// Orders endpoints until the control thread ends.
@@ -80,6 +86,7 @@
                 scaler.drop_orders();
             }
             scaler.observe(sample, inputs.as_of);
+            self.metrics.set(&sample.service, &scaler.status());
             if fence.is_some() {
                 let orders = scaler.take_orders(sample, inputs.as_of);
                 let status = scaler.status();
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -89,6 +89,7 @@
         G: FnOnce(SocketAddr) -> A + Send + 'static,
     {
         let shared = Arc::new(SharedState::new(settings.staleness));
+        let metrics = Arc::new(GatewayMetrics::new());
         let callers = listen(settings.caller_address)?;
         let operations = listen(settings.operations_address)?;
         let peers = listen(settings.peer_address)?;
@@ -103,6 +104,7 @@
         let reserved_idle_time = settings.reserved_idle_time;
         let parts = {
             let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let scaling_metrics = metrics.scaling.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -113,9 +115,11 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
-                duties: settings
-                    .duties
-                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
+                duties: settings.duties.map(|settings| DutyParts {
+                    api: duty_api(settings.address),
+                    settings,
+                    scaling_metrics,
+                }),
                 shared,
                 logger,
             }
@@ -130,7 +134,7 @@
             control,
             clock: BootClock,
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
-            metrics: Arc::new(GatewayMetrics::new()),
+            metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::duties::ScalingMetrics;
+
 /// Upper bound of the smallest bucket of duration histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
 
@@ -45,6 +47,8 @@
     pub open_relays: Gauge<i64, AtomicI64>,
     /// Attempts that other nodes relayed for this one.
     pub relayed_attempts: Counter,
+    /// Endpoints that services need and have, where this node follows them.
+    pub scaling: ScalingMetrics,
 }
 
 impl GatewayMetrics {
@@ -64,7 +68,18 @@
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         registry.register("open_relays", "Connections relayed for peers", open_relays.clone());
         registry.register("relayed_attempts", "Attempts through peers", relayed_attempts.clone());
-        Self { registry, calls, attempts, answer_begin, open_calls, open_relays, relayed_attempts }
+        let scaling = ScalingMetrics::default();
+        scaling.register(&mut registry);
+        Self {
+            registry,
+            calls,
+            attempts,
+            answer_begin,
+            open_calls,
+            open_relays,
+            relayed_attempts,
+            scaling,
+        }
     }
 
     /// Renders all metrics in the OpenMetrics text format.
--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -28,6 +28,7 @@
 use apricotknot_gateway::duties::PermittedApi;
 use apricotknot_gateway::duties::ScalingController;
 use apricotknot_gateway::duties::ScalingInputs;
+use apricotknot_gateway::duties::ScalingMetrics;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -99,7 +100,7 @@
             settings: settings(),
             logger: Logger::root(Discard, o!()),
         };
-        actix_rt::spawn(ScalingController::new(tools, receiver).run());
+        actix_rt::spawn(ScalingController::new(tools, receiver, ScalingMetrics::default()).run());
         Self { api, permit, inputs, now: BootClock.now() }
     }
 
