scaling: measured spread of the load, and losses during a release

Change: the reserve takes the larger one of the square root and the deviation of successive samples. A data centre that has as many endpoints as lately has lost none. Tests of batches, and of endpoints taken away after a release.

--- a/crates/apricotknot-core/src/scaling/endpoint_target.rs
+++ b/crates/apricotknot-core/src/scaling/endpoint_target.rs
@@ -4,8 +4,7 @@
 
 /// Standard deviations of the load that endpoints are kept free for.
 ///
-/// The work of independent callers varies by the square root of its mean; a caller who comes within
-/// two deviations finds an endpoint without waiting.
+/// A caller who comes within two deviations finds an endpoint without waiting.
 const SPREAD_FACTOR: f64 = 2.0;
 
 /// Returns the endpoints that serve `load` without waiting, and all of the lasting load after one of
@@ -13,7 +12,10 @@
 ///
 /// While a data centre is lost or evacuated, no reserve is kept for the loss of a further one.
 pub(super) fn needed_endpoints(load: MeanLoad, centres: usize, is_centre_lost: bool) -> u32 {
-    let without_waiting = load.brief + SPREAD_FACTOR * load.brief.sqrt();
+    // Work of independent callers varies by the square root of its mean; a prompt that many endpoints
+    // prefill at once makes it vary more.
+    let deviation = load.brief.sqrt().max(load.deviation);
+    let without_waiting = load.brief + SPREAD_FACTOR * deviation;
     let after_loss = match centres {
         2.. if !is_centre_lost => load.lasting * centres as f64 / (centres - 1) as f64,
         _ => 0.0,
--- a/crates/apricotknot-core/src/scaling/load_window.rs
+++ b/crates/apricotknot-core/src/scaling/load_window.rs
@@ -23,6 +23,8 @@
     pub(super) brief: f64,
     /// Mean over a longer time.
     pub(super) lasting: f64,
+    /// Standard deviation of the load in that time, apart from its trend.
+    pub(super) deviation: f64,
 }
 
 /// Keeps the recent load of one service.
@@ -45,6 +47,7 @@
         let mean = MeanLoad {
             brief: self.mean_since(now.saturating_sub(times.brief)),
             lasting: self.mean_since(now.saturating_sub(times.lasting)),
+            deviation: self.deviation(),
         };
         self.means.push_back((now, mean));
         drop_older(&mut self.means, now.saturating_sub(times.peak));
@@ -62,6 +65,7 @@
         self.means.iter().fold(MeanLoad::default(), |peak, (_, mean)| MeanLoad {
             brief: peak.brief.max(mean.brief),
             lasting: peak.lasting.max(mean.lasting),
+            deviation: peak.deviation.max(mean.deviation),
         })
     }
 
@@ -70,6 +74,15 @@
         self.since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
+    /// Returns the standard deviation of the samples by their successive differences, which a slow
+    /// change of the load leaves small.
+    fn deviation(&self) -> f64 {
+        let loads = self.samples.iter().map(|(_, load)| load);
+        let differences = loads.clone().skip(1).zip(loads).map(|(next, load)| next - load);
+        let total: f64 = differences.map(|difference| difference * difference).sum();
+        (total / 2.0 / self.samples.len().saturating_sub(1).max(1) as f64).sqrt()
+    }
+
     fn mean_since(&self, since: MonotonicTime) -> f64 {
         let recent = self.samples.iter().rev().take_while(|(at, _)| *at >= since);
         let (count, total) =
--- a/crates/apricotknot-core/src/scaling/service_scaler.rs
+++ b/crates/apricotknot-core/src/scaling/service_scaler.rs
@@ -134,8 +134,8 @@
                 EndpointStatus::Leaving => {},
             }
         }
-        for centre in self.lost.centres() {
-            self.centres.entry(Arc::clone(centre)).or_default().returning += 1;
+        for (centre, lost) in self.lost.counts() {
+            self.centres.entry(Arc::clone(centre)).or_default().returning += lost;
         }
         for (centre, count) in &mut self.centres {
             self.book.observe(centre, count.ready, now);
--- a/crates/apricotknot-core/tests/scaling.rs
+++ b/crates/apricotknot-core/tests/scaling.rs
@@ -50,6 +50,21 @@
     assert_eq!(fleet.worst_shortage, 0.0);
 }
 
+#[test]
+fn load_that_comes_in_batches_finds_free_endpoints() {
+    let mut fleet = FakeFleet::new(10, 2, 60);
+    let batches = |fleet: &mut FakeFleet| {
+        for _ in 0..20 {
+            fleet.run(Duration::from_millis(500), 10.0);
+            fleet.run(Duration::from_millis(500), 70.0);
+        }
+    };
+    batches(&mut fleet);
+    fleet.worst_shortage = 0.0;
+    batches(&mut fleet);
+    assert_eq!(fleet.worst_shortage, 0.0);
+}
+
 #[test]
 fn short_burst_within_the_reserve_orders_nothing() {
     let mut fleet = FakeFleet::new(12, 2, 60);
@@ -191,3 +206,16 @@
     assert_eq!(fleet.worst_shortage, 0.0);
     assert!(fleet.total() >= 53, "{}", fleet.total());
 }
+
+#[test]
+fn endpoints_that_are_taken_away_after_a_release_are_ordered_at_once() {
+    let mut fleet = FakeFleet::new(16, 16, 60);
+    fleet.run(seconds(30), 30.0);
+    fleet.release("a", 30.0);
+    assert!(fleet.orders.is_empty(), "{:?}", fleet.orders);
+    fleet.empty("a", 5);
+    fleet.run(seconds(1), 30.0);
+    assert_eq!(fleet.orders.len(), 1);
+    fleet.run(seconds(10), 30.0);
+    assert_eq!(fleet.count("a"), 16);
+}
--- a/crates/apricotknot-core/tests/support/fake_fleet.rs
+++ b/crates/apricotknot-core/tests/support/fake_fleet.rs
@@ -119,6 +119,28 @@
         hit.take(count).for_each(|(_, serves_at)| *serves_at = back_at);
     }
 
+    /// Replaces all endpoints of a data centre, one in each step: a new one, then an old one less.
+    pub(crate) fn release(&mut self, centre: &str, load: f64) {
+        let old: Vec<(String, u32)> =
+            self.endpoints.keys().filter(|(known, _)| known == centre).cloned().collect();
+        for key in old {
+            self.start(centre, 1, self.now);
+            self.run(STEP, load);
+            self.endpoints.remove(&key);
+            self.run(STEP, load);
+        }
+    }
+
+    /// Empties `count` endpoints of a data centre and takes them away.
+    pub(crate) fn empty(&mut self, centre: &str, count: usize) {
+        let keys = self.endpoints.keys().filter(|(known, _)| known == centre);
+        let keys: Vec<(String, u32)> = keys.take(count).cloned().collect();
+        for key in keys {
+            self.endpoints.remove(&key);
+            self.leaving.push(key);
+        }
+    }
+
     /// Counts the endpoints that serve in one data centre.
     pub(crate) fn count(&self, centre: &str) -> usize {
         let endpoints = self.endpoints.iter().filter(|((known, _), _)| known == centre);
