--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -28,6 +28,7 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
+use super::ScalingMetrics;
 use super::UsageHandle;
 use super::UsageReporter;
 use super::UsageTools;
@@ -53,6 +54,8 @@
     pub api: A,
     /// Metrics of the duties.
     pub metrics: DutyMetrics,
+    /// Metrics of the endpoints that are ordered.
+    pub scaling_metrics: ScalingMetrics,
 }
 
 /// What the usage reporter shares with the control thread.
@@ -113,7 +116,11 @@
                     }
                 },
                 DutyKind::Autoscale => {
-                    let controller = ScalingController::new(tools, inputs_reader.clone());
+                    let controller = ScalingController::new(
+                        tools,
+                        inputs_reader.clone(),
+                        parts.scaling_metrics.clone(),
+                    );
                     actix_rt::spawn(controller.run());
                 },
             }
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -110,6 +110,7 @@
         let parts = {
             let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
             let (logger, duty_metrics) = (logger.clone(), metrics.duties.clone());
+            let scaling_metrics = metrics.scaling.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -124,6 +125,7 @@
                     api: duty_api(settings.address),
                     settings,
                     metrics: duty_metrics,
+                    scaling_metrics,
                 }),
                 shared,
                 metrics,
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::duties::DutyMetrics;
+use crate::duties::ScalingMetrics;
 
 /// Upper bound of the smallest bucket of duration histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -55,6 +56,8 @@
     pub usage_reports: Counter,
     /// Duties of this node.
     pub duties: DutyMetrics,
+    /// Endpoints that services need and have, where this node follows them.
+    pub scaling: ScalingMetrics,
 }
 
 impl GatewayMetrics {
@@ -82,6 +85,8 @@
         registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
         let duties = DutyMetrics::default();
         duties.register(&mut registry);
+        let scaling = ScalingMetrics::default();
+        scaling.register(&mut registry);
         Self {
             registry,
             calls,
@@ -94,6 +99,7 @@
             late_usage,
             usage_reports,
             duties,
+            scaling,
         }
     }
 
