--- a/crates/apricotknot-gateway/src/control/runner/usage.rs
+++ b/crates/apricotknot-gateway/src/control/runner/usage.rs
@@ -24,11 +24,34 @@
 use crate::duties::UsageStatus;
 
 /// Interval at which the clocks are compared and due counts are sent.
-const USAGE_INTERVAL: Duration = Duration::from_millis(50);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Interval at which nodes are looked up that count, and that get the counts.
+const NODES_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which the last windows are published to operators.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Usage that the node counts, and when the loop attended to it.
+pub(super) struct UsageTask {
+    accounting: UsageHandle,
+    ticked_at: MonotonicTime,
+    nodes_at: MonotonicTime,
+    published_at: MonotonicTime,
+}
+
+impl UsageTask {
+    /// Creates the task of a node that starts.
+    pub(super) fn new(accounting: UsageHandle) -> Self {
+        Self {
+            accounting,
+            ticked_at: MonotonicTime::ZERO,
+            nodes_at: MonotonicTime::ZERO,
+            published_at: MonotonicTime::ZERO,
+        }
+    }
+}
+
 /// Returns the usage accounting of a node that starts, if its settings ask for reports.
 pub(super) fn start_usage(
     node: &NodeId,
@@ -51,61 +74,66 @@
 }
 
 impl ControlRunner {
-    /// Compares the clocks and sends the counts of this node if they are due.
+    /// Compares the clocks, sends the counts of this node and publishes the last windows, each if it
+    /// is due.
     pub(super) fn tick_usage(&mut self) {
         let now = self.clock.now();
-        let Some(usage) = self.usage.as_ref().filter(|_| now >= self.usage_at + USAGE_INTERVAL)
+        let Some(task) = self.usage.as_mut().filter(|task| now >= task.ticked_at + TICK_INTERVAL)
         else {
             return;
         };
-        self.usage_at = now;
-        {
-            let mut usage = usage.borrow_mut();
-            usage.tick(wall_clock(), now);
-            usage.set_nodes(self.state.registry().names());
-            usage.set_recipients(self.usage_recipients());
+        task.ticked_at = now;
+        task.accounting.borrow_mut().tick(wall_clock(), now);
+        if now >= task.nodes_at + NODES_INTERVAL {
+            task.nodes_at = now;
+            self.look_up_usage_nodes();
         }
         self.peers.send_due_counts(&self.state, now);
         self.publish_usage(now);
     }
 
+    /// Looks up the nodes that count, and those that report usage or may have to soon.
+    fn look_up_usage_nodes(&self) {
+        if let (Some(task), Some(duties)) = (&self.usage, &self.duties) {
+            let recipients = duties.likely_holders(DutyKind::UsageReport, &self.state);
+            let mut accounting = task.accounting.borrow_mut();
+            accounting.set_nodes(self.state.registry().names());
+            accounting.set_recipients(recipients);
+        }
+    }
+
     /// Publishes what is known of the last windows, if it is due.
     fn publish_usage(&mut self, now: MonotonicTime) {
-        let Some(usage) =
-            self.usage.as_ref().filter(|_| now >= self.usage_published_at + STATUS_INTERVAL)
+        let Some(task) =
+            self.usage.as_mut().filter(|task| now >= task.published_at + STATUS_INTERVAL)
         else {
             return;
         };
-        self.usage_published_at = now;
-        let usage = usage.borrow();
-        let late = usage.late_count().saturating_sub(self.metrics.late_usage.get());
+        task.published_at = now;
+        let accounting = task.accounting.borrow();
+        let late = accounting.late_count().saturating_sub(self.metrics.late_usage.get());
         self.metrics.late_usage.inc_by(late);
-        self.shared.set_usage_status(Arc::new(UsageStatus::new(&usage, now)));
+        self.shared.set_usage_status(Arc::new(UsageStatus::new(&accounting, now)));
     }
 
     /// Counts a request that began to run.
     pub(super) fn count_request(&self, account: &AccountId, began: MonotonicTime) {
-        if let Some(usage) = &self.usage {
-            usage.borrow_mut().record_began(account, began);
+        if let Some(task) = &self.usage {
+            task.accounting.borrow_mut().record_began(account, began);
             self.metrics.counted_requests.inc();
         }
     }
 
-    /// Returns the nodes that report usage or may have to soon.
-    fn usage_recipients(&self) -> Vec<NodeId> {
-        self.state.registry().names().into_iter().take(3).collect()
-    }
-
     /// Records the era of the key-value service.
     pub(super) fn observe_era(&self, era: EraNumber) {
-        if let Some(usage) = &self.usage {
-            usage.borrow_mut().observe_era(era, self.clock.now());
+        if let Some(task) = &self.usage {
+            task.accounting.borrow_mut().observe_era(era, self.clock.now());
         }
     }
 
     /// Remembers the usage reports that were read from the key-value service.
     pub(super) fn record_reports(&self, update: &StoreUpdate) {
-        let Some(usage) = &self.usage else {
+        let Some(task) = &self.usage else {
             return;
         };
         self.observe_era(update.era);
@@ -113,8 +141,8 @@
             let RegistryChange::UsageDecided(record) = change else {
                 continue;
             };
-            let recorded = usage.borrow_mut().record_report(record.report.clone(), record.era);
-            if let Err(error) = recorded {
+            let mut accounting = task.accounting.borrow_mut();
+            if let Err(error) = accounting.record_report(record.report.clone(), record.era) {
                 error!(self.logger, "usage: ignoring a report"; "error" => %error);
             }
         }
