--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -28,6 +28,7 @@
 use tokio::task::JoinHandle;
 
 use self::peer_exchange::PeerExchange;
+use self::usage::UsageTask;
 use self::usage::start_usage;
 use super::ControlCommand;
 use super::ControlHandle;
@@ -55,7 +56,6 @@
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
 use crate::duties::RosterContext;
-use crate::duties::UsageHandle;
 use crate::duties::UsageParts;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
@@ -157,11 +157,7 @@
     keeper: mpsc::Sender<KeptRecord>,
     duties: Option<DutyRoster>,
     /// Usage that the node counts, if the deployment asks for reports.
-    usage: Option<UsageHandle>,
-    /// Time at which usage was last attended to.
-    usage_at: MonotonicTime,
-    /// Time at which usage was last published to operators.
-    usage_published_at: MonotonicTime,
+    usage: Option<UsageTask>,
     metrics: Arc<GatewayMetrics>,
 }
 
@@ -216,9 +212,10 @@
                 incarnation: parts.incarnation,
                 store: parts.store.clone(),
                 shared: Arc::clone(&parts.shared),
+                usage: usage_parts,
                 logger: logger.clone(),
             };
-            DutyRoster::start(duties, context, usage_parts)
+            DutyRoster::start(duties, context)
         });
         let announcer = NodeAnnouncer::new(
             parts.store,
@@ -245,9 +242,7 @@
             load: LoopLoad::default(),
             keeper,
             duties,
-            usage,
-            usage_at: MonotonicTime::ZERO,
-            usage_published_at: MonotonicTime::ZERO,
+            usage: usage.map(UsageTask::new),
             metrics: parts.metrics,
         })
     }
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -70,16 +70,16 @@
         self.peer_seals.send_replace(seals);
     }
 
-    /// Publishes what the node knows of the fleet's usage.
-    pub fn set_usage_status(&self, status: Arc<UsageStatus>) {
-        self.usage_status.send_replace(Some(status));
-    }
-
     /// Publishes what this node knows about the duties.
     pub fn set_duties(&self, duties: Vec<DutyStatus>) {
         self.duties.send_replace(duties);
     }
 
+    /// Publishes what the node knows of the fleet's usage.
+    pub fn set_usage_status(&self, status: Arc<UsageStatus>) {
+        self.usage_status.send_replace(Some(status));
+    }
+
     /// Records that the configuration in force was the newest one at `moment`.
     pub fn confirm_as_of(&self, moment: MonotonicTime) {
         self.confirmed_at_ms.fetch_max(millis(moment), Ordering::Release);
--- a/crates/apricotknot-gateway/src/duties/duty_desk.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -12,6 +12,7 @@
 use apricotknot_core::fleet::NodePosition;
 use apricotknot_core::types::FencingNumber;
 use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -154,6 +155,12 @@
         self.kind
     }
 
+    /// Returns the node that holds the duty, as far as this one knows.
+    pub(super) fn holder(&self) -> Option<NodeId> {
+        let holder = self.holder.borrow();
+        holder.known_holder().map(|(record, _)| NodeId::clone(&record.holder))
+    }
+
     /// Returns what this node knows about the duty.
     pub(super) fn status(&self, now: MonotonicTime) -> DutyStatus {
         let holder = self.holder.borrow();
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -11,6 +11,7 @@
 use apricotknot_core::duty::DutyLimits;
 use apricotknot_core::fleet::NodeOrder;
 use apricotknot_core::fleet::NodePosition;
+use apricotknot_core::fleet::first_nodes;
 use apricotknot_core::membership::hash_text;
 use apricotknot_core::types::IncarnationNumber;
 use apricotknot_core::types::MonotonicTime;
@@ -46,6 +47,9 @@
 /// Interval between two snapshots for the scaling controller.
 const INPUTS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of nodes that are told what the holder of a duty needs, the holder included.
+const LIKELY_HOLDERS: usize = 3;
+
 /// Holds the settings and the API of the duties.
 pub struct DutyParts<A> {
     /// Settings of the duties.
@@ -93,6 +97,8 @@
     pub(crate) store: S,
     /// State that is shared with the traffic threads.
     pub(crate) shared: Arc<SharedState>,
+    /// Usage that the node counts, if there is a duty to report it.
+    pub(crate) usage: Option<UsageParts>,
     /// Logger of the control thread.
     pub(crate) logger: Logger,
 }
@@ -102,7 +108,6 @@
     pub(crate) fn start<S: MetadataStore, A: DutyApi>(
         parts: DutyParts<A>,
         context: RosterContext<S>,
-        usage: Option<UsageParts>,
     ) -> Self {
         let (inputs, inputs_reader) = watch::channel(Rc::default());
         let mut duties = Vec::new();
@@ -111,7 +116,7 @@
             duties.push(duty);
             match kind {
                 DutyKind::UsageReport => {
-                    if let Some(usage) = usage.clone() {
+                    if let Some(usage) = context.usage.clone() {
                         start_reporter(tools, usage);
                     }
                 },
@@ -207,6 +212,18 @@
     actix_rt::spawn(reporter.run());
 }
 
+impl DutyRoster {
+    /// Returns the holder of a duty, and the nodes whose turn comes next: [`LIKELY_HOLDERS`] together.
+    pub(crate) fn likely_holders(&self, kind: DutyKind, state: &ControlState) -> Vec<NodeId> {
+        let duty = self.duties.iter().find(|duty| duty.desk.kind() == kind);
+        let holder = duty.and_then(|duty| duty.desk.holder());
+        let names = state.registry().names();
+        let next = first_nodes(&names, hash_text(0, kind.name()), LIKELY_HOLDERS);
+        let next = next.into_iter().filter(|node| holder.as_ref() != Some(node));
+        holder.clone().into_iter().chain(next).take(LIKELY_HOLDERS).collect()
+    }
+}
+
 /// Creates one duty and what its task works with, and starts the task of its holder.
 fn staff<S: MetadataStore, A: DutyApi>(
     kind: DutyKind,
