--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -253,7 +253,7 @@
 fn duty_settings(api: &DutyApiServer) -> String {
     format!(
         "[duties]\naddress = {}\nkinds = usage_report, autoscale\nlease_ms = {}\n\
-         calls_per_s = {DUTY_CALLS_PER_SECOND}\n\n",
+         usage_window_s = 1\nusage_due_s = 4\ncalls_per_s = {DUTY_CALLS_PER_SECOND}\n\n",
         api.address(),
         LEASE_TIME.as_millis()
     )
