--- a/crates/apricotknot-gateway/src/control/runner/feed_events.rs
+++ b/crates/apricotknot-gateway/src/control/runner/feed_events.rs
@@ -25,6 +25,7 @@
                     "records" => update.record_changes.len(),
                     "nodes" => update.registry_changes.len()
                 );
+                self.record_reports(&update);
                 let newest = self.state.apply_snapshot(update, now);
                 if is_restored {
                     self.write_records_again();
@@ -35,6 +36,7 @@
                 delivery = arrived;
                 self.log_reachable_again(now);
                 self.log_changes(&update.record_changes);
+                self.record_reports(&update);
                 (self.state.apply_changes(update, now), as_of)
             },
             FeedEvent::Skipped(error) => {
@@ -48,6 +50,7 @@
                     "held_era" => held, "era" => found,
                     "knowledge_ms" => millis(self.shared.configuration_age(now))
                 );
+                self.observe_era(found);
                 return;
             },
             FeedEvent::Reloading(error) => {
--- a/crates/apricotknot/tests/duties.rs
+++ b/crates/apricotknot/tests/duties.rs
@@ -2,8 +2,6 @@
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
-use std::time::Duration;
-
 use apricotknot_core::duty::DutyKind;
 use serde_json::Value;
 
@@ -51,8 +49,12 @@
     (0..3).filter(|index| *index != holder).collect()
 }
 
-fn check_calls(fleet: &Fleet) {
+/// Waits until a holder whose number is at least `fence` reports usage, and checks all calls so far.
+fn check_calls(fleet: &Fleet, fence: u64) {
     let api = fleet.duty_api.as_ref().expect("an API");
+    wait_until("usage is reported", || {
+        api.calls().iter().any(|call| call.path == "/usage" && call.fence >= fence)
+    });
     assert_eq!(api.violations(LEASE_TIME), Vec::<String>::new());
 }
 
@@ -60,6 +62,7 @@
 #[test]
 fn a_killed_holder_is_followed_under_a_larger_number() {
     let mut fleet = Fleet::start_with_duties("duty-kill", 3);
+    let mut last_fence = 0;
     for kind in DutyKind::ALL {
         let (holder, fence) = wait_for_holder(&fleet, &[0, 1, 2], kind);
         fleet.nodes[holder].restart();
@@ -67,8 +70,9 @@
         let (next, next_fence) = wait_for_holder(&fleet, &[0, 1, 2], kind);
         assert!(next_fence > fence, "node-{next} acts under {next_fence}, after {fence}");
         wait_until("the node is ready again", || fleet.nodes[holder].is_ready());
+        last_fence = next_fence;
     }
-    check_calls(&fleet);
+    check_calls(&fleet, last_fence);
 }
 
 // Guards against a holder that goes on where it was suspended, beside its successor.
@@ -83,8 +87,7 @@
     wait_until("the frozen node ends its term", || has_ended_term(&fleet.nodes[holder], fence));
     let (_, later_fence) = wait_for_holder(&fleet, &others, DutyKind::UsageReport);
     assert_eq!(later_fence, next_fence, "the successor keeps the duty");
-    std::thread::sleep(Duration::from_millis(500));
-    check_calls(&fleet);
+    check_calls(&fleet, next_fence);
 }
 
 // Guards against a planned stop after which the lease has to end first.
@@ -101,7 +104,7 @@
     let causes: Vec<_> = lines.iter().filter(|line| line["fence"] == fence).collect();
     assert!(causes.iter().any(|line| line["cause"] == "node stops"), "{causes:?}");
     fleet.nodes[holder].wait_for_exit();
-    check_calls(&fleet);
+    check_calls(&fleet, 1);
 }
 
 #[test]
@@ -116,7 +119,7 @@
         next != fence
     });
     assert!(next > fence, "{next} after {fence}");
-    check_calls(&fleet);
+    check_calls(&fleet, next);
 }
 
 #[test]
