--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -89,7 +89,6 @@
         G: FnOnce(SocketAddr) -> A + Send + 'static,
     {
         let shared = Arc::new(SharedState::new(settings.staleness));
-        let metrics = Arc::new(GatewayMetrics::new());
         let callers = listen(settings.caller_address)?;
         let operations = listen(settings.operations_address)?;
         let peers = listen(settings.peer_address)?;
@@ -102,9 +101,10 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
             let (shared, logger) = (Arc::clone(&shared), logger.clone());
-            let scaling_metrics = metrics.scaling.clone();
+            let duty_metrics = metrics.duties.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -118,7 +118,7 @@
                 duties: settings.duties.map(|settings| DutyParts {
                     api: duty_api(settings.address),
                     settings,
-                    scaling_metrics,
+                    metrics: duty_metrics,
                 }),
                 shared,
                 logger,
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
-use crate::duties::ScalingMetrics;
+use crate::duties::DutyMetrics;
 
 /// Upper bound of the smallest bucket of duration histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -47,8 +47,8 @@
     pub open_relays: Gauge<i64, AtomicI64>,
     /// Attempts that other nodes relayed for this one.
     pub relayed_attempts: Counter,
-    /// Endpoints that services need and have, where this node follows them.
-    pub scaling: ScalingMetrics,
+    /// Duties of this node.
+    pub duties: DutyMetrics,
 }
 
 impl GatewayMetrics {
@@ -68,8 +68,8 @@
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         registry.register("open_relays", "Connections relayed for peers", open_relays.clone());
         registry.register("relayed_attempts", "Attempts through peers", relayed_attempts.clone());
-        let scaling = ScalingMetrics::default();
-        scaling.register(&mut registry);
+        let duties = DutyMetrics::default();
+        duties.register(&mut registry);
         Self {
             registry,
             calls,
@@ -78,7 +78,7 @@
             open_calls,
             open_relays,
             relayed_attempts,
-            scaling,
+            duties,
         }
     }
 
--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -25,7 +25,6 @@
 use apricotknot_gateway::duties::DutySettings;
 use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::duties::DutyTools;
-use apricotknot_gateway::duties::PermittedApi;
 use apricotknot_gateway::duties::ScalingController;
 use apricotknot_gateway::duties::ScalingInputs;
 use apricotknot_gateway::duties::ScalingMetrics;
@@ -47,9 +46,10 @@
     Hang,
 }
 
-/// API that records all orders.
-#[derive(Clone, Default)]
+/// API that records all orders, and ends the term that it refuses.
+#[derive(Clone)]
 struct RecordingApi {
+    permit: DutyPermit,
     calls: Rc<RefCell<Vec<(u64, ScalingOrder)>>>,
     mode: Rc<Cell<AnswerMode>>,
 }
@@ -71,7 +71,10 @@
         self.calls.borrow_mut().push((call.fence, order.clone()));
         match self.mode.get() {
             AnswerMode::Accept => Ok(DutyAnswer::Accepted),
-            AnswerMode::Refuse => Ok(DutyAnswer::Fenced),
+            AnswerMode::Refuse => {
+                self.permit.end_term(call.fence);
+                Ok(DutyAnswer::Fenced)
+            },
             AnswerMode::Fail => Err(DutyApiError::TimedOut { limit: Duration::from_secs(1) }),
             AnswerMode::Hang => pending().await,
         }
@@ -89,12 +92,13 @@
 impl TestController {
     fn start() -> Self {
         let permit = DutyPermit::new("node-1".into());
-        let api = RecordingApi::default();
+        let api =
+            RecordingApi { permit: permit.clone(), calls: Rc::default(), mode: Rc::default() };
         let (inputs, receiver) = watch::channel(Rc::default());
         let tools = DutyTools {
             node: "node-1".into(),
             permit: permit.clone(),
-            api: PermittedApi::new(api.clone(), permit.clone(), BootClock),
+            api: api.clone(),
             store: (),
             clock: BootClock,
             settings: settings(),
