--- a/crates/apricotknot-gateway/src/duties/duty_metrics.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::ScalingMetrics;
+
 /// Label of a duty.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct DutyLabels {
@@ -23,6 +25,8 @@
     terms: Family<DutyLabels, Counter>,
     refusals: Family<DutyLabels, Counter>,
     failed_calls: Family<DutyLabels, Counter>,
+    /// Endpoints that are ordered.
+    pub(super) scaling: ScalingMetrics,
 }
 
 impl DutyMetrics {
@@ -32,6 +36,7 @@
         registry.register("duty_terms", "Terms that this node took", self.terms.clone());
         registry.register("duty_refusals", "Calls with a late number", self.refusals.clone());
         registry.register("duty_failed_calls", "Calls that failed", self.failed_calls.clone());
+        self.scaling.register(registry);
     }
 
     /// Records whether this node holds a duty.
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -29,7 +29,6 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
-use super::ScalingMetrics;
 use super::UsageHandle;
 use super::UsageReporter;
 use super::UsageTools;
@@ -58,8 +57,6 @@
     pub api: A,
     /// Metrics of the duties.
     pub metrics: DutyMetrics,
-    /// Metrics of the endpoints that are ordered.
-    pub scaling_metrics: ScalingMetrics,
 }
 
 /// What the usage reporter shares with the control thread.
@@ -124,7 +121,7 @@
                     let controller = ScalingController::new(
                         tools,
                         inputs_reader.clone(),
-                        parts.scaling_metrics.clone(),
+                        parts.metrics.scaling.clone(),
                     );
                     actix_rt::spawn(controller.run());
                 },
--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -27,7 +27,6 @@
 use apricotknot_gateway::duties::DutySettings;
 use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::duties::DutyTools;
-use apricotknot_gateway::duties::PermittedApi;
 use apricotknot_gateway::duties::ScalingController;
 use apricotknot_gateway::duties::ScalingInputs;
 use apricotknot_gateway::duties::ScalingMetrics;
@@ -49,9 +48,10 @@
     Hang,
 }
 
-/// API that records all orders.
-#[derive(Clone, Default)]
+/// API that records all orders, and ends the term that it refuses.
+#[derive(Clone)]
 struct RecordingApi {
+    permit: DutyPermit,
     calls: Rc<RefCell<Vec<(u64, ScalingOrder)>>>,
     mode: Rc<Cell<AnswerMode>>,
 }
@@ -73,7 +73,10 @@
         self.calls.borrow_mut().push((call.fence, order.clone()));
         match self.mode.get() {
             AnswerMode::Accept => Ok(DutyAnswer::Accepted),
-            AnswerMode::Refuse => Ok(DutyAnswer::Fenced),
+            AnswerMode::Refuse => {
+                self.permit.end_term(call.fence);
+                Ok(DutyAnswer::Fenced)
+            },
             AnswerMode::Fail => Err(DutyApiError::TimedOut { limit: Duration::from_secs(1) }),
             AnswerMode::Hang => pending().await,
         }
@@ -101,7 +104,8 @@
 impl TestController {
     fn start() -> Self {
         let permit = DutyPermit::new("node-1".into());
-        let api = RecordingApi::default();
+        let api =
+            RecordingApi { permit: permit.clone(), calls: Rc::default(), mode: Rc::default() };
         let (inputs, receiver) = watch::channel(Rc::default());
         let tools = DutyTools {
             node: "node-1".into(),
