placement: value by priority rank, and a price of engine time

Cause: a plan counted only the streams at its engines now. Nobody counted the short requests that arrive while engines read, nor that all engines read at once; long prompts queued up to three seconds of reading on every engine in calm, and short ones found none free when a burst began. The priority of accounts and routes was used nowhere. Change: request_value (size and priority rank; an account's priority goes before its route's), engine_time_price (derived from the short requests of all nodes and the engines left to them), and an urgency: a long prompt that has time waits while its engines are worth more to others. A late prompt does not hold up one that can be on time. Nodes tell one another ranks in a section of its own.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -8,9 +8,10 @@
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
-use super::placement::LATE_VALUE_FRACTION;
+use super::placement::LONG_PROMPT_TOKENS;
 use super::placement::TIMELY_FRACTION;
-use super::placement::request_value;
+use super::request_value::LATE_VALUE_FRACTION;
+use super::request_value::work_value;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
@@ -35,6 +36,8 @@
     pub(super) context: TokenCount,
     /// Pause limit and value of each stream that the endpoint decodes.
     streams: Vec<(Duration, f64)>,
+    /// Start of the phase and value of each short request that the endpoint runs.
+    short_requests: Vec<(MonotonicTime, f64)>,
     /// Total value of the requests that the endpoint runs and has not begun to answer.
     prefill_value: f64,
     /// Start and duration of each prefill for a request that the endpoint runs.
@@ -50,10 +53,13 @@
             WorkRole::Runner => self.running += 1,
             WorkRole::Helper => self.helper_count += 1,
         }
+        if work.role == WorkRole::Runner && work.prompt < LONG_PROMPT_TOKENS {
+            self.short_requests.push((work.since, work_value(work)));
+        }
         if work.phase == WorkPhase::Decode {
             self.context += work.memory;
             if work.role == WorkRole::Runner {
-                self.streams.push((work.pause_limit, request_value(work.prompt)));
+                self.streams.push((work.pause_limit, work_value(work)));
             }
             return;
         }
@@ -62,7 +68,7 @@
             WorkRole::Helper => self.helper_prefills.push(prefill),
             WorkRole::Runner => {
                 self.own_prefills.push(prefill);
-                self.prefill_value += request_value(work.prompt);
+                self.prefill_value += work_value(work);
             },
         }
     }
@@ -72,6 +78,11 @@
         u32::try_from(self.streams.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the start of the phase and the value of each short request that the endpoint runs.
+    pub(super) fn short_requests(&self) -> impl Iterator<Item = (MonotonicTime, f64)> {
+        self.short_requests.iter().copied()
+    }
+
     /// Returns the time until all prefills in progress are done, one after the other.
     pub(super) fn backlog(&self, now: MonotonicTime) -> Duration {
         let prefills = self.own_prefills.iter().chain(&self.helper_prefills).copied();
--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -30,6 +30,7 @@
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::NodeId;
+use crate::types::PriorityRank;
 use crate::types::RegionId;
 use crate::types::ServiceId;
 
@@ -182,6 +183,7 @@
             phase: WorkPhase::Prefill,
             since: now,
             pause_limit: query.pause_limit,
+            rank: query.rank,
         };
         let helpers = plan.helpers.iter();
         let helpers = helpers.map(|part| work(&part.endpoint, WorkRole::Helper, part.memory));
@@ -242,7 +244,7 @@
             incarnation: snapshot.incarnation,
             sequence: snapshot.sequence,
             received: now,
-            work_items: snapshot.works.into_iter().map(|work| work.into_work_item(now)).collect(),
+            work_items: work_items(snapshot.works, &snapshot.ranks, now),
             waits: snapshot.waits,
             relay: snapshot.relay,
         };
@@ -367,8 +369,24 @@
             .collect()
     }
 
+    /// Returns the ranks of the work in [`Self::work_snapshots`], in the same order.
+    pub fn rank_snapshots(&self) -> Vec<PriorityRank> {
+        let works = self.own_work.values().flatten().take(MAX_WORK_SNAPSHOTS);
+        works.map(|work| work.rank).collect()
+    }
+
     /// Returns the maximum number of waiting requests in a load snapshot.
     pub fn max_wait_snapshots() -> usize {
         MAX_WAIT_SNAPSHOTS
     }
 }
+
+/// Returns the work of another node; work without a stated rank has the usual one.
+fn work_items(
+    works: Vec<WorkSnapshot>,
+    ranks: &[PriorityRank],
+    now: MonotonicTime,
+) -> Vec<WorkItem> {
+    let ranks = ranks.iter().copied().chain(std::iter::repeat(0));
+    works.into_iter().zip(ranks).map(|(work, rank)| work.into_work_item(rank, now)).collect()
+}
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -20,6 +20,7 @@
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::NodeId;
+use crate::types::PriorityRank;
 
 /// Describes the work of one endpoint for an attempt of the sending node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -58,7 +59,7 @@
     }
 
     /// Returns the work item of a node that received the snapshot at `now`.
-    pub fn into_work_item(self, now: MonotonicTime) -> WorkItem {
+    pub fn into_work_item(self, rank: PriorityRank, now: MonotonicTime) -> WorkItem {
         WorkItem {
             endpoint: self.endpoint,
             role: if self.is_helper { WorkRole::Helper } else { WorkRole::Runner },
@@ -68,6 +69,7 @@
             phase: if self.is_writing { WorkPhase::Decode } else { WorkPhase::Prefill },
             since: now.saturating_sub(milliseconds(self.age_ms)),
             pause_limit: milliseconds(self.pause_limit_ms),
+            rank,
         }
     }
 }
@@ -114,6 +116,9 @@
     /// Endpoints whose answers say that they leave; sent in a section of its own.
     #[serde(skip)]
     pub leaving: Vec<LeavingReport>,
+    /// Rank of each of the works, in their order; sent in a section of its own.
+    #[serde(skip)]
+    pub ranks: Vec<PriorityRank>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -23,16 +23,11 @@
 use super::rate_turn::wait_for_rate;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
+use crate::types::PriorityRank;
 use crate::types::RegionId;
 use crate::types::ServiceId;
 use crate::types::TokenCount;
 
-/// Prompt tokens that add as much value as the request itself.
-const TOKENS_PER_VALUE: f64 = 12_000.0;
-
-/// Fraction of a request's value that remains when its answer is late.
-pub(super) const LATE_VALUE_FRACTION: f64 = 0.25;
-
 /// Fraction of a time limit that an estimate may reach and still count as on time.
 pub(super) const TIMELY_FRACTION: f64 = 0.85;
 
@@ -79,7 +74,7 @@
 /// Minimum length of a long prompt, in tokens.
 ///
 /// A long prompt may wait until it can be answered on time.
-const LONG_PROMPT_TOKENS: TokenCount = 24_000;
+pub(super) const LONG_PROMPT_TOKENS: TokenCount = 24_000;
 
 /// Describes the request to be placed.
 #[derive(Clone, Debug)]
@@ -100,6 +95,8 @@
     pub pause_limit: Duration,
     /// Time after which an answer is of no use to the caller.
     pub deadline: MonotonicTime,
+    /// Rank of the request's priority.
+    pub rank: PriorityRank,
 }
 
 /// Describes the work of one helper: an endpoint that prefills a part of the prompt.
@@ -198,11 +195,6 @@
     decide(plan, engine, query, endpoint_count, position.rank, now)
 }
 
-/// Returns the value of answering a request with `prompt` tokens on time.
-pub(super) fn request_value(prompt: TokenCount) -> f64 {
-    1.0 + prompt as f64 / TOKENS_PER_VALUE
-}
-
 /// Returns whether an endpoint may run the request, regardless of its load and its health.
 fn is_eligible(fleet: &FleetState, state: &EndpointState, query: &PlacementQuery) -> bool {
     let entry = &state.entry;
@@ -299,6 +291,7 @@
     let best = candidates.into_iter().min_by(|left, right| cost(left).total_cmp(&cost(right)))?;
     Some(ScoredPlan {
         net_value: 1.0,
+        time_price: 0.0,
         is_timely: true,
         has_no_prefill: true,
         plan: PlacementPlan {
@@ -325,7 +318,7 @@
         return wait_or_refuse(has_wait_expired);
     };
     let is_long = query.size.prompt >= LONG_PROMPT_TOKENS;
-    if is_long && scored.net_value <= 0.0 {
+    if is_long && scored.net_value * urgency(&scored, query, engine, now) <= scored.time_price {
         return wait_or_refuse(has_wait_expired);
     }
     let may_wait = is_long && !has_wait_expired;
@@ -340,6 +333,24 @@
     PlacementDecision::Send(scored.plan)
 }
 
+/// Returns the fraction of a request's value that is lost unless the request is sent now.
+///
+/// It is the fraction of the time for an answer on time that has passed when `plan` begins to answer,
+/// and then that of the time for an answer at all. A request that has time loses little if it waits.
+fn urgency(
+    plan: &ScoredPlan,
+    query: &PlacementQuery,
+    engine: Option<&EngineModel>,
+    now: MonotonicTime,
+) -> f64 {
+    let begins_after = now.saturating_sub(query.arrived) + plan.plan.expected_start;
+    let limit = match plan.is_timely {
+        true => query.target_latency.mul_f64(TIMELY_FRACTION),
+        false => wait_deadline(query, engine).saturating_sub(query.arrived),
+    };
+    (begins_after.as_secs_f64() / limit.as_secs_f64().max(1e-3)).min(1.0)
+}
+
 /// Returns the time until the answer begins if all endpoints were idle and shared the prefill.
 fn fastest_start(
     engine: Option<&EngineModel>,
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -7,10 +7,12 @@
 use super::PlacementPlan;
 use super::PlacementQuery;
 use super::endpoint_load::EndpointLoad;
+use super::engine_time_price::EngineTimePrice;
 use super::placement::FAILURE_COST;
-use super::placement::LATE_VALUE_FRACTION;
+use super::placement::LONG_PROMPT_TOKENS;
 use super::placement::TIMELY_FRACTION;
-use super::placement::request_value;
+use super::request_value::LATE_VALUE_FRACTION;
+use super::request_value::request_value;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
@@ -39,11 +41,8 @@
 /// Fraction of an engine's slots that short streams fill before another engine is preferred.
 const PACKED_FRACTION: f64 = 0.75;
 
-/// Value that other requests gain per second of endpoint time when all endpoints are busy.
-const OPPORTUNITY_COST: f64 = 1.5;
-
-/// Prefill backlog at which an endpoint counts as fully utilized.
-const BUSY_BACKLOG: Duration = Duration::from_millis(300);
+/// Cost of each second until an endpoint is ready, in units of request value.
+const READY_COST: f64 = 1.5;
 
 /// Minimum memory that a helper holds for a request, in tokens.
 const MIN_HELPER_MEMORY: TokenCount = 4_000;
@@ -84,8 +83,10 @@
 /// A plan with its estimated value.
 #[derive(Clone, Debug)]
 pub(super) struct ScoredPlan {
-    /// Value that the request gains, less the value that other requests lose.
+    /// Value that the request gains, less the value that requests at its endpoints lose.
     pub(super) net_value: f64,
+    /// Price of the time of its endpoints: the value that requests which arrive meanwhile lose.
+    pub(super) time_price: f64,
     /// Whether the answer is expected to begin within the target latency.
     pub(super) is_timely: bool,
     /// Whether none of the endpoints has a prefill in progress.
@@ -113,8 +114,8 @@
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let prefill = engine.prefill_time(query.size.prompt);
-    let opportunity_cost =
-        prefill.as_secs_f64() * OPPORTUNITY_COST * fleet_utilization(engine, &candidates);
+    let loads = candidates.iter().map(|candidate| (&candidate.load, candidate.backlog));
+    let price = EngineTimePrice::new(engine, loads, now);
     if candidates.is_empty() {
         return None;
     }
@@ -129,21 +130,11 @@
         if is_too_short || is_too_long {
             return None;
         }
-        plan_with_count(engine, &candidates, order, query, (count, part_time), now)
-    });
-    let plans =
-        plans.map(|plan| ScoredPlan { net_value: plan.net_value - opportunity_cost, ..plan });
-    plans.max_by(|left, right| left.net_value.total_cmp(&right.net_value))
-}
-
-/// Returns the mean utilization of the candidates, from 0 to 1.
-fn fleet_utilization(engine: &EngineModel, candidates: &[PlacementCandidate]) -> f64 {
-    let utilizations = candidates.iter().map(|candidate| {
-        let running = f64::from(candidate.load.running) / f64::from(engine.slots.max(1));
-        let prefill = candidate.backlog.as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
-        running.max(prefill).min(1.0)
+        let plan = plan_with_count(engine, &candidates, order, query, (count, part_time), now)?;
+        Some(ScoredPlan { time_price: price.cost(count, part_time), ..plan })
     });
-    utilizations.sum::<f64>() / (candidates.len().max(1) as f64)
+    let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
+    plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
 }
 
 /// Returns the best plan over `count` endpoints that prefill for `part_time` each.
@@ -183,7 +174,7 @@
     let cost: f64 = runner.cost + helpers.iter().map(|helper| helper.cost).sum::<f64>();
     let is_timely = now.saturating_sub(query.arrived) + first_event
         <= query.target_latency.mul_f64(TIMELY_FRACTION);
-    let value = request_value(query.size.prompt);
+    let value = request_value(query.size.prompt, query.rank);
     let gain = if is_timely { value } else { value * LATE_VALUE_FRACTION };
     let horizon = match is_timely {
         true => query.target_latency,
@@ -196,6 +187,7 @@
         - packing_cost(engine, &runner.candidate.load, query);
     Some(ScoredPlan {
         net_value,
+        time_price: 0.0,
         is_timely,
         has_no_prefill: helpers
             .iter()
@@ -215,11 +207,11 @@
 impl ScoredCandidate<'_> {
     /// Returns the key that orders helpers.
     fn sort_key(&self, order: HelperOrder) -> (f64, Duration) {
-        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / OPPORTUNITY_COST);
+        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / READY_COST);
         let ready = self.helper_ready + choice_time;
         match order {
             HelperOrder::CostFirst => (self.cost, ready),
-            HelperOrder::CostAndTime => (self.cost + ready.as_secs_f64() * OPPORTUNITY_COST, ready),
+            HelperOrder::CostAndTime => (self.cost + ready.as_secs_f64() * READY_COST, ready),
         }
     }
 }
@@ -262,9 +254,9 @@
             (scored.runner_ready + interval).as_secs_f64() / query.target_latency.as_secs_f64();
         let missing = query.size.memory().saturating_sub(scored.candidate.free_memory);
         scored.cost
-            + request_value(query.size.prompt) * LATENCY_COST * time_fraction
+            + request_value(query.size.prompt, query.rank) * LATENCY_COST * time_fraction
             + packing_cost(engine, load, query)
-            + request_value(missing)
+            + request_value(missing, query.rank)
             + scored.candidate.choice_cost
     };
     let with_room = scored_candidates.iter().enumerate().filter(|(_, scored)| has_room(scored));
@@ -280,7 +272,7 @@
     let packed_slots = f64::from(engine.slots) * PACKED_FRACTION;
     let free_fraction = 1.0 - f64::from(load.running) / packed_slots;
     PACKING_COST
-        * if request_value(query.size.prompt) < 3.0 { free_fraction.abs() } else { -free_fraction }
+        * if query.size.prompt < LONG_PROMPT_TOKENS { free_fraction.abs() } else { -free_fraction }
 }
 
 /// Returns the time between two events of a new stream that is decoded along with those of `load`.
--- a/crates/apricotknot-core/src/fleet/work.rs
+++ b/crates/apricotknot-core/src/fleet/work.rs
@@ -4,6 +4,7 @@
 
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
+use crate::types::PriorityRank;
 use crate::types::TokenCount;
 
 /// Size of one request, in tokens.
@@ -64,4 +65,6 @@
     pub since: MonotonicTime,
     /// Longest pause between two events of the answer that still counts as on time.
     pub pause_limit: Duration,
+    /// Rank of the request's priority.
+    pub rank: PriorityRank,
 }
--- a/crates/apricotknot-core/src/routing/desired_state.rs
+++ b/crates/apricotknot-core/src/routing/desired_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::KeyPolicy;
+use super::PriorityTable;
 use super::RouteTable;
 use crate::fleet::EngineModel;
 use crate::scaling::ScalingLimits;
@@ -65,6 +66,8 @@
     /// Regions whose endpoints may run the requests of an account; all regions for an account that
     /// is absent.
     pub account_regions: BTreeMap<AccountId, Vec<RegionId>>,
+    /// Priorities of accounts and routes.
+    pub priorities: PriorityTable,
     /// Limits on the callers' input.
     pub limits: InputLimits,
 }
--- a/crates/apricotknot-core/src/routing/mod.rs
+++ b/crates/apricotknot-core/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod desired_state;
 mod key_policy;
 mod key_table;
+mod priority_table;
 mod route;
 mod route_table;
 
@@ -11,6 +12,7 @@
 pub use desired_state::ServiceProfile;
 pub use key_policy::KeyPolicy;
 pub use key_table::KeyTable;
+pub use priority_table::PriorityTable;
 pub use route::CallKind;
 pub use route::RouteSpec;
 pub use route::WeightedTarget;
--- a/crates/apricotknot-core/src/routing/route_table.rs
+++ b/crates/apricotknot-core/src/routing/route_table.rs
@@ -38,6 +38,11 @@
         None
     }
 
+    /// Returns all routes, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &RouteSpec> {
+        self.hosts.values().flat_map(HashMap::values).map(|route| &**route)
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
--- a/crates/apricotknot-core/src/types/ids.rs
+++ b/crates/apricotknot-core/src/types/ids.rs
@@ -40,6 +40,9 @@
 /// Names a pool: endpoints of one service whose requests one owner node schedules.
 pub type PoolId = Arc<str>;
 
+/// Ranks a request by its priority: 0 is the usual one, a negative rank goes before it.
+pub type PriorityRank = i8;
+
 /// Names a region: data centres that share a failure and latency domain.
 pub type RegionId = Arc<str>;
 
--- a/crates/apricotknot-core/src/types/mod.rs
+++ b/crates/apricotknot-core/src/types/mod.rs
@@ -21,6 +21,7 @@
 pub use ids::MonotonicTime;
 pub use ids::NodeId;
 pub use ids::PoolId;
+pub use ids::PriorityRank;
 pub use ids::RegionId;
 pub use ids::RequestId;
 pub use ids::RevisionNumber;
--- a/crates/apricotknot-core/tests/fleet_locality.rs
+++ b/crates/apricotknot-core/tests/fleet_locality.rs
@@ -60,6 +60,7 @@
         target_latency: Duration::from_millis(400),
         pause_limit: Duration::from_millis(250),
         deadline: NOW + Duration::from_secs(10),
+        rank: 0,
     }
 }
 
--- a/crates/apricotknot-core/tests/requested_backoff.rs
+++ b/crates/apricotknot-core/tests/requested_backoff.rs
@@ -52,6 +52,7 @@
         target_latency: Duration::from_millis(300),
         pause_limit: Duration::MAX,
         deadline: now + Duration::from_secs(4),
+        rank: 0,
     }
 }
 
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -130,6 +130,7 @@
         target_latency: kind.target_latency,
         pause_limit: kind.pause_limit,
         deadline: now + kind.deadline,
+        rank: 0,
     }
 }
 
@@ -338,6 +339,7 @@
             incarnation: 1,
             sequence: u64::try_from(self.now.as_micros()).unwrap_or(u64::MAX),
             works: self.fleet_states[node].work_snapshots(self.now),
+            ranks: self.fleet_states[node].rank_snapshots(),
             ..LoadSnapshot::default()
         };
         for (is_distant, delay) in [(false, self.snapshot_delay), (true, self.distant_delay)] {
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -281,6 +281,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             works: self.fleet.work_snapshots(now),
+            ranks: self.fleet.rank_snapshots(),
             waits: self.wait_queue.snapshots(now),
             crashes: Vec::new(),
             part_crashes: Vec::new(),
--- a/crates/apricotknot-gateway/src/driver/admitted_call.rs
+++ b/crates/apricotknot-gateway/src/driver/admitted_call.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::routing::RouteSpec;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::PriorityRank;
 use apricotknot_core::types::RegionId;
 use apricotknot_core::types::ServiceId;
 use bytes::Bytes;
@@ -31,6 +32,8 @@
     pub route: Arc<RouteSpec>,
     /// Service that runs the call.
     pub service: ServiceId,
+    /// Rank of the call's priority.
+    pub rank: PriorityRank,
     /// Account that the call is made for, if any.
     pub account: Option<AccountId>,
     /// Regions whose endpoints may run the call, or `None` for all regions.
@@ -96,8 +99,10 @@
         }
         let bound = account.as_ref().and_then(|account| desired.account_regions.get(account));
         let regions = common_regions(&route.regions, bound);
+        let rank = desired.priorities.rank(&route, account.as_ref());
         remove_hop_by_hop_headers(&mut head.headers);
         Ok(Self {
+            rank,
             metadata,
             service,
             account,
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -73,7 +73,7 @@
             "is_rate_limited" => grant.is_rate_limited,
             "is_relayed" => grant.path.is_relayed(),
             "helpers" => grant.helpers.len(), "held" => grant.reserved_tokens(),
-            "prompt" => self.call.metadata.size.prompt,
+            "prompt" => self.call.metadata.size.prompt, "rank" => self.call.rank,
             "expected_ms" => millis(grant.expected_start),
             "waited_ms" => millis(self.now().saturating_sub(self.call.arrived)),
             "version" => self.call.configuration_version,
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -70,6 +70,7 @@
                 target_latency: self.call.route.target_latency,
                 pause_limit: self.call.route.pause_limit.unwrap_or(Duration::MAX),
                 deadline: self.call.deadline,
+                rank: self.call.rank,
             },
             is_retry: self.sends > 0,
             may_wait,
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -26,6 +26,9 @@
 /// Number of the section with endpoints that leave.
 const LEAVING_SECTION: u8 = 5;
 
+/// Number of the section with the ranks of the works.
+const RANKS_SECTION: u8 = 6;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -48,6 +51,9 @@
     if !snapshot.leaving.is_empty() {
         push_section(&mut bytes, LEAVING_SECTION, &snapshot.leaving)?;
     }
+    if snapshot.ranks.iter().any(|rank| *rank != 0) {
+        push_section(&mut bytes, RANKS_SECTION, &snapshot.ranks)?;
+    }
     if !snapshot.relayed.is_empty() {
         push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
     }
@@ -69,6 +75,7 @@
             RELAY_SECTION => snapshot.relay = Some(parse_value(value)?),
             BACKOFFS_SECTION => snapshot.backoffs = parse_value(value)?,
             LEAVING_SECTION => snapshot.leaving = parse_value(value)?,
+            RANKS_SECTION => snapshot.ranks = parse_value(value)?,
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
         }
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -61,6 +61,7 @@
             left_ms: 70,
         }],
         leaving: vec![LeavingReport { endpoint: "engine".into(), incarnation: 2 }],
+        ranks: Vec::new(),
         relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
@@ -158,6 +159,37 @@
     assert!(own.starts_with(&landed), "what the landed build reads comes first and is the same");
 }
 
+/// Work of a node whose callers have two ranks.
+fn ranked_snapshot() -> LoadSnapshot {
+    let work = WorkSnapshot {
+        endpoint: "engine".into(),
+        is_helper: false,
+        prompt: 5_000,
+        memory: 5_100,
+        read_ms: 30,
+        is_writing: false,
+        age_ms: 20,
+        pause_limit_ms: 250,
+    };
+    let works = vec![work.clone(), WorkSnapshot { prompt: 260_000, ..work }];
+    LoadSnapshot { works, ranks: vec![0, -2], relayed: Vec::new(), ..snapshot() }
+}
+
+// Guards against ranks that a build without them cannot skip.
+#[test]
+fn landed_build_reads_work_whose_ranks_are_told_in_a_section() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let ranked = seal.encode(&ranked_snapshot()).expect("encoded datagram");
+    assert_eq!(seal.decode(&ranked), Ok(ranked_snapshot()));
+    let plain = LoadSnapshot { ranks: Vec::new(), ..ranked_snapshot() };
+    let plain = seal.encode(&plain).expect("encoded datagram");
+    let (plain, ranked) =
+        [&plain, &ranked].map(|bytes| bytes[..bytes.len() - TAG_BYTES].to_vec()).into();
+    // Number, length and value of the section, which follows all that the landed build writes.
+    let section = [&[6, 3, 0, 0, 0][..], &[2, 0, 0xfe]].concat();
+    assert_eq!(ranked, [plain, section].concat());
+}
+
 #[test]
 fn node_record_of_the_landed_build_is_read_and_written_alike() {
     let record: NodeRecord = serde_json::from_slice(LANDED_NODE_RECORD).expect("a record");
