RED: tests: crowds of clients that nobody controls, at gateway and run

Clients that hold bodies short of their end filled the memory of a process; silent and dripping ones its descriptors. One crowd at a time. No times, no shares.

--- a/crates/apricotknot-standin/src/fleet/harness.rs
+++ b/crates/apricotknot-standin/src/fleet/harness.rs
@@ -196,7 +196,10 @@
             let settings_file = self.dir.join(format!("{name}.ini"));
             fs::write(&settings_file, text)
                 .map_err(|source| FleetError::File { path: settings_file.clone(), source })?;
-            let process = start_node_process(&name, &settings_file, &self.dir)?;
+            let process = match settings.max_descriptors {
+                Some(count) => start_limited_node(&name, &settings_file, &self.dir, count)?,
+                None => start_node_process(&name, &settings_file, &self.dir)?,
+            };
             self.nodes.push(FleetNode { name, callers, operators, peers, process, settings_file });
         }
         Ok(())
@@ -272,6 +275,19 @@
     ChildProcess::start(name, &binary_path("apricotknot")?, &arguments, dir)
 }
 
+/// Starts a node that may have at most `descriptors` open at a time.
+fn start_limited_node(
+    name: &str,
+    file: &Path,
+    dir: &Path,
+    descriptors: usize,
+) -> Result<ChildProcess, FleetError> {
+    let script = format!("ulimit -n {descriptors} && exec \"$0\" run \"$1\"");
+    let program = binary_path("apricotknot")?.display().to_string();
+    let arguments = ["-c".to_owned(), script, program, file.display().to_string()];
+    ChildProcess::start(name, Path::new("sh"), &arguments, dir)
+}
+
 fn create_dir() -> Result<PathBuf, FleetError> {
     let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
     let dir = env::temp_dir().join(format!("apricotknot-fleet-{}-{number}", process::id()));
--- a/crates/apricotknot-standin/src/fleet/settings.rs
+++ b/crates/apricotknot-standin/src/fleet/settings.rs
@@ -104,6 +104,7 @@
     pub(super) non_repeatable_paths: Vec<String>,
     pub(super) node_settings: BTreeMap<(String, String), String>,
     pub(super) resources: Vec<ResourceRecord>,
+    pub(super) max_descriptors: Option<usize>,
 }
 
 impl Default for FleetSettings {
@@ -115,6 +116,7 @@
             non_repeatable_paths: Vec::new(),
             node_settings: BTreeMap::new(),
             resources: Vec::new(),
+            max_descriptors: None,
         }
     }
 }
@@ -162,6 +164,13 @@
         self
     }
 
+    /// Limits the descriptors that each node may have open at a time.
+    #[must_use]
+    pub fn max_descriptors(mut self, count: usize) -> Self {
+        self.max_descriptors = Some(count);
+        self
+    }
+
     /// Returns the text of a node's settings file; settings for every node override `keys`.
     pub(super) fn node_file_text(&self, keys: &[(&str, &str, String)]) -> String {
         let mut sections: BTreeMap<&str, BTreeMap<&str, &str>> = BTreeMap::new();
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -62,6 +62,7 @@
     child: Child,
     pub(crate) caller_address: SocketAddr,
     pub(crate) operations_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
     settings: PathBuf,
     pub(crate) log: PathBuf,
 }
@@ -207,6 +208,25 @@
         self.store.put("op/config", &configuration(self.version, keys));
     }
 
+    /// Writes a version of the configuration with other limits of callers' input, and waits until
+    /// all nodes have applied it.
+    pub(crate) fn limit_input(&mut self, limits: &Value) {
+        self.version += 3;
+        let mut next = configuration(self.version, &[KEY]);
+        next["limits"] = limits.clone();
+        self.store.put("op/config", &next);
+        let version = self.version;
+        for node in &self.nodes {
+            wait_until("a node applies the limits", || {
+                let lines = node.log_lines();
+                let is_applied = |line: &Value| {
+                    line["msg"] == "control: configuration applied" && line["version"] == version
+                };
+                lines.iter().any(is_applied)
+            });
+        }
+    }
+
     fn start_node(&self, name: &str, index: usize, limits: &str) -> Node {
         self.start_node_at(name, index, limits, self.proxied_addresses[&self.store.address()])
     }
@@ -215,18 +235,18 @@
         let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the node");
         let (caller_address, operations_address) = (next_node_address(), next_node_address());
+        let peer_address = next_node_address();
         let settings = dir.join("gateway.ini");
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
-             callers = {caller_address}\noperations = {operations_address}\nnews = {}\n{limits}\n\
+             callers = {caller_address}\noperations = {operations_address}\nnews = {peer_address}\n{limits}\n\
              stop_s = 8\n\n[store]\naddress = {store}\n\n[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
-            next_node_address(),
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = dir.join("log.jsonl");
         let child = start_process(own_program(), &settings, &log);
-        Node { child, caller_address, operations_address, settings, log }
+        Node { child, caller_address, operations_address, peer_address, settings, log }
     }
 }
 
@@ -293,6 +313,24 @@
         self.child = start_process(program, &self.settings, &self.log);
     }
 
+    /// Restarts the node with at most `descriptors` open at a time, and waits until it is ready.
+    pub(crate) fn restart_with_descriptors(&mut self, descriptors: usize) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let log = File::options().append(true).open(&self.log).expect("the log is opened");
+        let script = format!("ulimit -n {descriptors} && exec \"$0\" gateway \"$1\"");
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(script).arg(own_program()).arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        self.child = command.spawn().expect("the node starts");
+        wait_until("the node is ready", || self.is_ready());
+    }
+
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the largest memory that the process has used, in kilobytes.
     pub(crate) fn peak_kilobytes(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
