--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::duties::DutyMetrics;
+use crate::intake::IntakeMetrics;
 
 /// Upper bound of the smallest bucket of duration histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.005;
@@ -55,6 +56,8 @@
     pub usage_reports: Counter,
     /// Duties of this node.
     pub duties: DutyMetrics,
+    /// Clients of all interfaces that were refused or had to give way.
+    pub intake: IntakeMetrics,
 }
 
 impl GatewayMetrics {
@@ -82,6 +85,10 @@
         registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
         let duties = DutyMetrics::default();
         duties.register(&mut registry);
+        let intake = IntakeMetrics::default();
+        let (gave_way, refused) = (intake.gave_way.clone(), intake.refused.clone());
+        registry.register("intake_gave_way", "Connections closed for others", gave_way);
+        registry.register("intake_refused", "Requests without memory", refused);
         Self {
             registry,
             calls,
@@ -94,6 +101,7 @@
             late_usage,
             usage_reports,
             duties,
+            intake,
         }
     }
 
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -1,5 +1,8 @@
 //! Gateway nodes as processes, in front of a stand-in of the users' platform.
 
+#[path = "gateway_answer.rs"]
+mod gateway_answer;
+
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Read;
@@ -29,6 +32,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+pub(crate) use gateway_answer::Answer;
+pub(crate) use gateway_answer::read_answer;
+
 /// Time after which a condition that is not met fails the test.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -50,25 +56,12 @@
 /// API key of the only client account.
 pub(crate) const KEY: &str = "key-one";
 
-/// An HTTP answer, as far as it was received.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Answer {
-    /// Status code; 0 when no answer was received.
-    pub(crate) status: u16,
-    pub(crate) head: String,
-    /// Body without the framing of the chunked transfer encoding.
-    pub(crate) body: String,
-    /// Whether the body ended as its framing declares.
-    pub(crate) is_complete: bool,
-    /// Whether bytes were received that do not belong to the answer.
-    pub(crate) has_invalid_bytes: bool,
-}
-
 /// A gateway node as a process.
 pub(crate) struct Node {
     child: Child,
     pub(crate) caller_address: SocketAddr,
     pub(crate) operations_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
     settings: PathBuf,
     pub(crate) log: PathBuf,
 }
@@ -225,6 +218,25 @@
         self.store.put("op/config", &configuration(self.version, keys));
     }
 
+    /// Writes a version of the configuration with other limits of callers' input, and waits until
+    /// all nodes have applied it.
+    pub(crate) fn limit_input(&mut self, limits: &Value) {
+        self.version += 3;
+        let mut next = configuration(self.version, &[KEY]);
+        next["limits"] = limits.clone();
+        self.store.put("op/config", &next);
+        let version = self.version;
+        for node in &self.nodes {
+            wait_until("a node applies the limits", || {
+                let lines = node.log_lines();
+                let is_applied = |line: &Value| {
+                    line["msg"] == "control: configuration applied" && line["version"] == version
+                };
+                lines.iter().any(is_applied)
+            });
+        }
+    }
+
     fn start_node(&self, name: &str, index: usize, limits: &str) -> Node {
         self.start_node_at(name, index, limits, self.proxied_addresses[&self.store.address()])
     }
@@ -233,19 +245,19 @@
         let dir = std::env::temp_dir().join(format!("{name}-{}-{index}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the node");
         let (caller_address, operations_address) = (next_node_address(), next_node_address());
+        let peer_address = next_node_address();
         let settings = dir.join("gateway.ini");
         let duties = self.duty_api.as_ref().map(duty_settings).unwrap_or_default();
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
-             callers = {caller_address}\noperations = {operations_address}\nnews = {}\n{limits}\n\
+             callers = {caller_address}\noperations = {operations_address}\nnews = {peer_address}\n{limits}\n\
              stop_s = 8\n\n[store]\naddress = {store}\n\n{duties}[data_centres]\nnorth = here\n\n\
              [log]\nformat = json\n",
-            next_node_address(),
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = dir.join("log.jsonl");
         let child = start_process(own_program(), &settings, &log);
-        Node { child, caller_address, operations_address, settings, log }
+        Node { child, caller_address, operations_address, peer_address, settings, log }
     }
 }
 
@@ -322,6 +334,24 @@
         self.child = start_process(program, &self.settings, &self.log);
     }
 
+    /// Restarts the node with at most `descriptors` open at a time, and waits until it is ready.
+    pub(crate) fn restart_with_descriptors(&mut self, descriptors: usize) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let log = File::options().append(true).open(&self.log).expect("the log is opened");
+        let script = format!("ulimit -n {descriptors} && exec \"$0\" gateway \"$1\"");
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(script).arg(own_program()).arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        self.child = command.spawn().expect("the node starts");
+        wait_until("the node is ready", || self.is_ready());
+    }
+
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the largest memory that the process has used, in kilobytes.
     pub(crate) fn peak_kilobytes(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
@@ -404,59 +434,6 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-/// Reads one answer, or the part that was received when the connection ended or timed out.
-pub(crate) fn read_answer(stream: &mut TcpStream) -> Answer {
-    let mut bytes = Vec::new();
-    // Each part is parsed together with all before it, so there should be few.
-    let mut buffer = vec![0; 65_536];
-    loop {
-        if let Some(answer) = parse_answer(&bytes)
-            && answer.is_complete
-        {
-            return answer;
-        }
-        match stream.read(&mut buffer) {
-            Ok(0) | Err(_) => return parse_answer(&bytes).unwrap_or_default(),
-            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-        }
-    }
-}
-
-/// Parses the bytes received so far, or returns `None` if the head is not complete.
-fn parse_answer(bytes: &[u8]) -> Option<Answer> {
-    let text = String::from_utf8_lossy(bytes);
-    let (head, remaining) = text.split_once("\r\n\r\n")?;
-    let head = head.to_ascii_lowercase();
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let (body, is_complete, has_invalid_bytes) = if head.contains("transfer-encoding: chunked") {
-        join_chunks(remaining)
-    } else {
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-        let length: usize = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
-        (remaining.to_owned(), remaining.len() >= length, remaining.len() > length)
-    };
-    Some(Answer { status, head, body, is_complete, has_invalid_bytes })
-}
-
-/// Decodes chunks; returns the body, whether it is complete and whether the framing is invalid.
-fn join_chunks(mut remaining: &str) -> (String, bool, bool) {
-    let mut body = String::new();
-    while let Some((size, after)) = remaining.split_once("\r\n") {
-        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
-            return (body, false, true);
-        };
-        if size == 0 {
-            return (body, true, false);
-        }
-        if after.len() < size + 2 {
-            return (body, false, false);
-        }
-        body.push_str(&after[..size]);
-        remaining = &after[size + 2..];
-    }
-    (body, false, false)
-}
-
 /// Waits until `is_met` returns true.
 ///
 /// # Panics
