--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -27,6 +27,7 @@
 use apricotknot_gateway::duties::DutySettings;
 use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::duties::DutyTools;
+use apricotknot_gateway::duties::PermittedApi;
 use apricotknot_gateway::duties::ScalingController;
 use apricotknot_gateway::duties::ScalingInputs;
 use apricotknot_gateway::duties::ScalingMetrics;
