--- a/crates/apricotknot-core/src/fleet/engine_time_price.rs
+++ b/crates/apricotknot-core/src/fleet/engine_time_price.rs
@@ -23,7 +23,7 @@
 /// Fraction of the engines that is kept for short requests whatever their number.
 ///
 /// A prefill cannot be taken back when a burst of short requests begins, and lasts up to seconds.
-const RESERVED_FRACTION: f64 = 0.25;
+const RESERVED_FRACTION: f64 = 0.35;
 
 /// Exponent of the ratio of engines that short requests need to engines that are left to them, in
 /// the probability that a short request finds none.
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -318,7 +318,7 @@
         return wait_or_refuse(has_wait_expired);
     };
     let is_long = query.size.prompt >= LONG_PROMPT_TOKENS;
-    if is_long && scored.net_value * urgency(&scored, query, engine, now) <= scored.time_price {
+    if is_long && scored.net_value <= scored.time_price {
         return wait_or_refuse(has_wait_expired);
     }
     let may_wait = is_long && !has_wait_expired;
@@ -333,24 +333,6 @@
     PlacementDecision::Send(scored.plan)
 }
 
-/// Returns the fraction of a request's value that is lost unless the request is sent now.
-///
-/// It is the fraction of the time for an answer on time that has passed when `plan` begins to answer,
-/// and then that of the time for an answer at all. A request that has time loses little if it waits.
-fn urgency(
-    plan: &ScoredPlan,
-    query: &PlacementQuery,
-    engine: Option<&EngineModel>,
-    now: MonotonicTime,
-) -> f64 {
-    let begins_after = now.saturating_sub(query.arrived) + plan.plan.expected_start;
-    let limit = match plan.is_timely {
-        true => query.target_latency.mul_f64(TIMELY_FRACTION),
-        false => wait_deadline(query, engine).saturating_sub(query.arrived),
-    };
-    (begins_after.as_secs_f64() / limit.as_secs_f64().max(1e-3)).min(1.0)
-}
-
 /// Returns the time until the answer begins if all endpoints were idle and shared the prefill.
 fn fastest_start(
     engine: Option<&EngineModel>,
