--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -119,6 +119,10 @@
     /// Rank of each of the works, in their order; sent in a section of its own.
     #[serde(skip)]
     pub ranks: Vec<PriorityRank>,
+    /// Time that the clock of the node shows, in microseconds since the start of 1970, if the nodes
+    /// compare their clocks; sent in a section of its own.
+    #[serde(skip)]
+    pub wall_clock_us: Option<u64>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -9,6 +9,7 @@
 use actix_http::KeepAlive;
 use actix_http::ServiceConfigBuilder;
 use actix_rt::net::TcpStream;
+use apricotknot_core::duty::DutyKind;
 use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
@@ -26,6 +27,8 @@
 use crate::control::start_control;
 use crate::driver::CallerSession;
 use crate::driver::TrafficContext;
+use crate::duties::DutyApi;
+use crate::duties::DutyParts;
 use crate::endpoint::AnswerBudget;
 use crate::operations::OperationsSession;
 use crate::protocol::CallProtocol;
@@ -65,23 +68,26 @@
 impl<P: CallProtocol> GatewayNode<P> {
     /// Starts the control thread and listens for callers and operators.
     ///
-    /// Must be called within an actix system. `store` creates the client of the key-value service
-    /// from its address, and is called on the control thread.
+    /// Must be called within an actix system. `store` and `duty_api` create the clients of the
+    /// key-value service and of the API for duties from their addresses, on the control thread.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound or the control thread cannot be started.
-    pub async fn start<S, T, F>(
+    pub async fn start<S, T, A, F, G>(
         settings: GatewaySettings,
         protocol: P,
         translator: T,
         store: F,
+        duty_api: G,
         logger: Logger,
     ) -> io::Result<Self>
     where
         S: MetadataStore,
         T: RecordTranslator + Send,
+        A: DutyApi,
         F: FnOnce(SocketAddr) -> S + Send + 'static,
+        G: FnOnce(SocketAddr) -> A + Send + 'static,
     {
         let shared = Arc::new(SharedState::new(settings.staleness));
         let callers = listen(settings.caller_address)?;
@@ -96,8 +102,14 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let counts_usage = settings
+            .duties
+            .as_ref()
+            .is_some_and(|duties| duties.kinds.contains(&DutyKind::UsageReport));
+        let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
-            let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
+            let logger = logger.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -108,13 +120,18 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
+                duties: settings
+                    .duties
+                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
                 shared,
+                metrics,
                 logger,
             }
         };
         let (control, _) = start_control(parts)?;
         let context = TrafficContext {
             node: name,
+            counts_usage,
             reserved_idle_time,
             protocol,
             http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
@@ -122,7 +139,7 @@
             control,
             clock: BootClock,
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
-            metrics: Arc::new(GatewayMetrics::new()),
+            metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
