caller: connections take turns while bodies arrive

Cause: one poll of a connection read up to 128 buffers, each of up to 1,300 one-byte parts, before others had their turn. Under a thousand connections (crowds_gateway by hand, debug build, load average 70) ordinary calls took 1.8 to 6.1 s in the process, grants expired unused, and one run of five ended with 504 for the ordinary call. Change: a body yields after 32 parts. One of an ordinary size has fewer.

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -53,6 +53,11 @@
 /// As [`LINGER_TIMEOUT`], for connections that give way to others, as those wait meanwhile.
 const GAVE_WAY_LINGER_TIME: Duration = Duration::from_millis(20);
 
+/// Parts of a body that are read before other connections have their turn.
+///
+/// A part may be a single byte, and one read of the connection may bring a thousand of them.
+const PARTS_PER_TURN: u64 = 32;
+
 /// Memory that is taken first for a body, in bytes, if it is not known to be smaller.
 const FIRST_BODY_BYTES: usize = 16 * 1_024;
 
@@ -289,7 +294,12 @@
         let most = declared.unwrap_or(limits.body_bytes);
         let began = Instant::now();
         let mut progress = BodyProgress::new(limits.idle_timeout);
+        let mut parts = 0;
         loop {
+            parts += 1;
+            if parts % PARTS_PER_TURN == 0 {
+                tokio::task::yield_now().await;
+            }
             let part_end = Instant::now() + progress.time_left(began.elapsed());
             match timeout_at(part_end, self.next_message()).await {
                 Err(_) => return Err(ConnectionError::BodyTimeout),
