soak: duties, and an API for them that is silent, late or refuses

Change: nodes of the soak have duties unless a build before them takes part; faults of the API; at the end usage is reported again, and the stand-in finds no shared fence, no changed report and no turns within the lease time.

--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -32,6 +32,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use apricotknot_standin::users_platform::DutyFault;
 use apricotknot_standin::users_platform::EndpointFault;
 use apricotknot_standin::users_platform::EndpointServer;
 use apricotknot_standin::users_platform::MetadataCopy;
@@ -44,6 +45,7 @@
 use fault_proxy::LinkDirection;
 use gateway_fleet::Fleet;
 use gateway_fleet::KEY;
+use gateway_fleet::LEASE_TIME;
 use gateway_fleet::lookup_request;
 use gateway_fleet::next_node_address;
 use gateway_fleet::order_request;
@@ -84,6 +86,9 @@
 /// Backoff, in seconds, that an endpoint asks for.
 const NAMED_RETRY_AFTER: &str = "0.7";
 
+/// Time after which the API for duties carries out calls without an answer.
+const LATE_CALL: Duration = Duration::from_millis(2_500);
+
 /// Index of the store among the proxies.
 const STORE: usize = 4;
 
@@ -120,7 +125,9 @@
     fn start(seed: u64) -> Self {
         let mut proxies = Vec::new();
         let name = format!("soak-{seed}");
-        let mut fleet = Fleet::start_with_proxies(&name, node_count() - 1, |address| {
+        // Nodes of a build before duties do not know their settings.
+        let has_duties = std::env::var_os("SOAK_OTHER_PROGRAM").is_none();
+        let mut fleet = Fleet::start_with_proxies(&name, node_count() - 1, has_duties, |address| {
             proxies.push(FaultProxy::start(address));
             proxies.last().map_or(address, FaultProxy::address)
         });
@@ -181,6 +188,7 @@
             soak.fleet.engines.iter().all(|engine| engine.reserved_tokens() == 0)
         });
         soak.check_runs();
+        soak.check_duties();
         let mut violations = std::mem::take(&mut *lock(&soak.log.violations));
         if !violations.is_empty() {
             violations.extend(soak.history);
@@ -202,7 +210,7 @@
             7 => EndpointFault::WrongRequestId,
             _ => EndpointFault::ServerError,
         };
-        let fault = match self.random.random_range(0..30) {
+        let fault = match self.random.random_range(0..33) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
             2 => SoakFault::LinkBlocked(proxy, LinkDirection::ToClient),
@@ -222,6 +230,9 @@
             26 | 27 => SoakFault::LinkSilenced(STORE),
             28 => SoakFault::LinkSilenced(endpoint),
             29 => SoakFault::EndpointRemoved(endpoint),
+            30 => SoakFault::DutyApi(DutyFault::Silent),
+            31 => SoakFault::DutyApi(DutyFault::Late(LATE_CALL)),
+            32 => SoakFault::DutyApi(DutyFault::Status(503)),
             _ if lock(&self.log.revoked_at).is_none() => SoakFault::KeyRevoked,
             _ => SoakFault::StoreCompacted,
         };
@@ -291,6 +302,7 @@
             SoakFault::StoreCompacted => self.fleet.store.compact_history(),
             SoakFault::StoreRestored(_) => self.copies.push(self.fleet.store.copy()),
             SoakFault::StoreOutdated => {},
+            SoakFault::DutyApi(fault) => self.set_duty_fault(fault),
             SoakFault::KeyRevoked => {
                 self.fleet.configure(&[KEY]);
                 *lock(&self.log.revoked_at) = Some(Instant::now());
@@ -356,6 +368,7 @@
                 self.active_faults.push((end, SoakFault::StoreOutdated));
             },
             SoakFault::StoreOutdated => self.write_again(),
+            SoakFault::DutyApi(_) => self.set_duty_fault(DutyFault::None),
             SoakFault::LinkReset(_)
             | SoakFault::LinkSilenced(_)
             | SoakFault::StoreCompacted
@@ -402,6 +415,24 @@
         self.proxies.get(index).into_iter().chain(own)
     }
 
+    fn set_duty_fault(&self, fault: DutyFault) {
+        if let Some(api) = &self.fleet.duty_api {
+            api.set_fault(fault);
+        }
+    }
+
+    /// Checks that one node at a time acted, and that some node acts again.
+    fn check_duties(&self) {
+        let Some(api) = &self.fleet.duty_api else {
+            return;
+        };
+        let before = api.calls().len();
+        wait_until("usage is reported again", || api.calls().len() > before);
+        for violation in api.violations(LEASE_TIME) {
+            self.log.record_violation(violation);
+        }
+    }
+
     fn set_service_fault(&self, service: usize, endpoint_fault: EndpointFault) {
         for endpoint in [service * 2, service * 2 + 1] {
             self.endpoint(endpoint).set_fault(endpoint_fault);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -97,21 +97,24 @@
         Self::start_with(name, nodes, "revoke_ms = 3000")
     }
 
-    /// Starts `nodes` nodes that reach endpoints and the store at the addresses that
-    /// `proxy_address` returns.
+    /// Starts `nodes` nodes, with all duties or none, that reach endpoints and the store at the
+    /// addresses that `proxy_address` returns.
     pub(crate) fn start_with_proxies(
         name: &str,
         nodes: usize,
+        has_duties: bool,
         proxy_address: impl FnMut(SocketAddr) -> SocketAddr,
     ) -> Self {
-        Self::start_all(name, nodes, "revoke_ms = 3000", None, proxy_address)
+        let api = has_duties.then(|| {
+            DutyApiServer::start(any_loopback_address(), DUTY_CALLS_PER_SECOND)
+                .expect("the API starts")
+        });
+        Self::start_all(name, nodes, "revoke_ms = 3000", api, proxy_address)
     }
 
     /// Starts `nodes` nodes with all duties.
     pub(crate) fn start_with_duties(name: &str, nodes: usize) -> Self {
-        let api = DutyApiServer::start(any_loopback_address(), DUTY_CALLS_PER_SECOND);
-        let api = Some(api.expect("the API starts"));
-        Self::start_all(name, nodes, "revoke_ms = 3000", api, |address| address)
+        Self::start_with_proxies(name, nodes, true, |address| address)
     }
 
     /// Starts `nodes` nodes with the lines `limits` in the section `gateway` of their settings.
--- a/crates/apricotknot/tests/support/soak_fault.rs
+++ b/crates/apricotknot/tests/support/soak_fault.rs
@@ -1,5 +1,6 @@
 //! Faults of the soak test.
 
+use apricotknot_standin::users_platform::DutyFault;
 use apricotknot_standin::users_platform::EndpointFault;
 
 use super::fault_proxy::Admission;
@@ -43,6 +44,8 @@
     /// Operators and endpoints have not written again what the store lost.
     StoreOutdated,
     KeyRevoked,
+    /// The API for duties fails, if there is one.
+    DutyApi(DutyFault),
 }
 
 /// Returns the id of an endpoint: an engine for the indices 0 and 1, a plain one for 2 and 3.
