--- a/crates/apricotknot-gateway/src/control/runner/mod.rs
+++ b/crates/apricotknot-gateway/src/control/runner/mod.rs
@@ -3,6 +3,7 @@
 
 mod feed_events;
 mod peer_exchange;
+mod usage;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -27,6 +28,7 @@
 use tokio::task::JoinHandle;
 
 use self::peer_exchange::PeerExchange;
+use self::usage::start_usage;
 use super::ControlCommand;
 use super::ControlHandle;
 use super::ControlState;
@@ -46,12 +48,15 @@
 use super::record_keeper::RecordKeeper;
 use super::registry::configuration_key;
 use super::registry::part_key;
+use crate::GatewayMetrics;
 use crate::clock::BootClock;
 use crate::clock::millis;
 use crate::duties::DutyApi;
 use crate::duties::DutyParts;
 use crate::duties::DutyRoster;
 use crate::duties::RosterContext;
+use crate::duties::UsageHandle;
+use crate::duties::UsageParts;
 use crate::protocol::RecordTranslator;
 use crate::store::MetadataStore;
 
@@ -94,6 +99,8 @@
     pub duties: Option<DutyParts<A>>,
     /// State that is published to the traffic threads.
     pub shared: Arc<SharedState>,
+    /// Metrics of the node.
+    pub metrics: Arc<GatewayMetrics>,
     /// Logger of the control thread.
     pub logger: Logger,
 }
@@ -149,6 +156,13 @@
     /// Sends records to the task that writes them to the key-value service.
     keeper: mpsc::Sender<KeptRecord>,
     duties: Option<DutyRoster>,
+    /// Usage that the node counts, if the deployment asks for reports.
+    usage: Option<UsageHandle>,
+    /// Time at which usage was last attended to.
+    usage_at: MonotonicTime,
+    /// Time at which usage was last published to operators.
+    usage_published_at: MonotonicTime,
+    metrics: Arc<GatewayMetrics>,
 }
 
 impl ControlRunner {
@@ -158,7 +172,7 @@
         commands: mpsc::UnboundedReceiver<ControlCommand>,
     ) -> io::Result<Self> {
         let clock = BootClock;
-        let peers = PeerExchange::bind(
+        let mut peers = PeerExchange::bind(
             parts.peer_address,
             Arc::clone(&parts.node),
             Arc::clone(&parts.data_centre),
@@ -188,12 +202,21 @@
         let (keeper, kept_records) = mpsc::channel(KEEPER_CAPACITY);
         let record_keeper = RecordKeeper::new(parts.store.clone(), kept_records, logger.clone());
         actix_rt::spawn(record_keeper.run());
+        let usage_settings = parts.duties.as_ref().map(|duties| &duties.settings);
+        let usage = usage_settings
+            .and_then(|settings| start_usage(&parts.node, parts.incarnation, settings, clock));
+        peers.set_usage(usage.clone());
+        let usage_parts = usage.clone().map(|accounting| UsageParts {
+            accounting,
+            reports: parts.metrics.usage_reports.clone(),
+        });
         let duties = parts.duties.map(|duties| {
             let context = RosterContext {
                 node: Arc::clone(&parts.node),
                 incarnation: parts.incarnation,
                 store: parts.store.clone(),
                 shared: Arc::clone(&parts.shared),
+                usage: usage_parts,
                 logger: logger.clone(),
             };
             DutyRoster::start(duties, context)
@@ -223,6 +246,10 @@
             load: LoopLoad::default(),
             keeper,
             duties,
+            usage,
+            usage_at: MonotonicTime::ZERO,
+            usage_published_at: MonotonicTime::ZERO,
+            metrics: parts.metrics,
         })
     }
 
@@ -265,6 +292,7 @@
             self.log_missing_notices();
             self.keep_lost_configuration();
             self.tick_duties();
+            self.tick_usage();
             self.peers.send_due(&mut self.state, self.clock.now());
             self.record_load(kind, woken);
         }
@@ -430,15 +458,19 @@
     /// Handles commands; if one of them stops the thread, returns the sender to notify at its end.
     fn handle_batch(&mut self, batch: &mut Vec<ControlCommand>) -> Option<oneshot::Sender<()>> {
         for command in batch.drain(..) {
-            if let ControlCommand::Stop { done } = command {
-                return Some(done);
+            match command {
+                ControlCommand::Stop { done } => return Some(done),
+                ControlCommand::RequestBegan { account, began } => {
+                    self.count_request(&account, began);
+                },
+                command => self.state.handle_command(command, self.clock.now()),
             }
-            self.state.handle_command(command, self.clock.now());
         }
         None
     }
 
     async fn withdraw(&mut self) {
+        self.peers.send_last_counts(&self.state, self.clock.now());
         self.announcer_signals.stop.notify_one();
         if tokio::time::timeout(WITHDRAW_TIMEOUT, &mut self.announcer_task).await.is_err() {
             warn!(
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -49,6 +49,12 @@
     pub relayed_attempts: Counter,
     /// Duties of this node.
     pub duties: DutyMetrics,
+    /// Requests that were counted for the usage reports.
+    pub counted_requests: Counter,
+    /// Requests that became known to this node after the report on their window.
+    pub late_usage: Counter,
+    /// Usage reports of this node that were accepted.
+    pub usage_reports: Counter,
 }
 
 impl GatewayMetrics {
@@ -61,6 +67,9 @@
         let open_calls = Gauge::default();
         let open_relays = Gauge::default();
         let relayed_attempts = Counter::default();
+        let counted_requests = Counter::default();
+        let late_usage = Counter::default();
+        let usage_reports = Counter::default();
         let mut registry = Registry::with_prefix("apricotknot_gateway");
         registry.register("calls", "Calls that ended", calls.clone());
         registry.register("attempts", "Attempts that ended", attempts.clone());
@@ -70,6 +79,9 @@
         registry.register("relayed_attempts", "Attempts through peers", relayed_attempts.clone());
         let duties = DutyMetrics::default();
         duties.register(&mut registry);
+        registry.register("counted_requests", "Requests counted", counted_requests.clone());
+        registry.register("late_usage", "Requests in no usage report", late_usage.clone());
+        registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
         Self {
             registry,
             calls,
@@ -79,6 +91,9 @@
             open_relays,
             relayed_attempts,
             duties,
+            counted_requests,
+            late_usage,
+            usage_reports,
         }
     }
 
