--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -15,6 +15,7 @@
 use apricotknot_core::types::IncarnationNumber;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
+use prometheus_client::metrics::counter::Counter;
 use slog::Logger;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -27,7 +28,9 @@
 use super::PermittedApi;
 use super::ScalingController;
 use super::ScalingInputs;
+use super::UsageHandle;
 use super::UsageReporter;
+use super::UsageTools;
 use super::duty_desk::DutyDesk;
 use crate::clock::BootClock;
 use crate::control::ControlState;
@@ -58,6 +61,15 @@
     actions: mpsc::UnboundedSender<DutyAction>,
 }
 
+/// What the usage reporter shares with the control thread.
+#[derive(Clone)]
+pub(crate) struct UsageParts {
+    /// Counts and reports that the node knows.
+    pub(crate) accounting: UsageHandle,
+    /// Counts the reports that were accepted.
+    pub(crate) reports: Counter,
+}
+
 /// Holds the duties that this deployment has.
 pub(crate) struct DutyRoster {
     duties: Vec<StaffedDuty>,
@@ -78,6 +90,8 @@
     pub(crate) store: S,
     /// State that is shared with the traffic threads.
     pub(crate) shared: Arc<SharedState>,
+    /// Counts of usage, if usage is reported.
+    pub(crate) usage: Option<UsageParts>,
     /// Logger of the control thread.
     pub(crate) logger: Logger,
 }
@@ -95,8 +109,9 @@
             duties.push(duty);
             match kind {
                 DutyKind::UsageReport => {
-                    let reporter = UsageReporter::new(tools, Arc::clone(&context.shared));
-                    actix_rt::spawn(reporter.run());
+                    if let Some(usage) = context.usage.clone() {
+                        start_reporter(tools, usage);
+                    }
                 },
                 DutyKind::Autoscale => {
                     let controller = ScalingController::new(
@@ -206,3 +221,18 @@
     let names = state.registry().names();
     NodeOrder::new(node, &names).position(hash_text(0, kind.name()))
 }
+
+/// Starts the task that reports usage.
+fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, usage: UsageParts) {
+    let clock = tools.clock;
+    let reporter = UsageReporter::new(UsageTools {
+        accounting: usage.accounting,
+        reports: usage.reports,
+        permit: tools.permit,
+        api: tools.api,
+        store: tools.store,
+        clock: move || clock.now(),
+        logger: tools.logger,
+    });
+    actix_rt::spawn(reporter.run());
+}
