--- a/crates/apricotknot-gateway/src/duties/duty_desk.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -12,11 +12,14 @@
 use apricotknot_core::fleet::NodePosition;
 use apricotknot_core::types::FencingNumber;
 use apricotknot_core::types::MonotonicTime;
+use apricotknot_core::types::NodeId;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
 
+use super::DutyAnswer;
+use super::DutyApiError;
 use super::DutyMetrics;
 use super::DutyPermit;
 use super::DutyStatus;
@@ -68,18 +71,24 @@
         self.change(|holder| holder.withdraw(now));
     }
 
-    /// Records the end of a call of the platform.
-    pub(super) fn record_platform(&self, is_answered: bool, now: MonotonicTime) {
-        if !is_answered {
+    /// Records the end of a call of the platform under `fence`.
+    pub(super) fn record_answer(
+        &self,
+        fence: FencingNumber,
+        answer: &Result<DutyAnswer, DutyApiError>,
+        now: MonotonicTime,
+    ) {
+        if let Ok(DutyAnswer::Fenced) = answer {
+            self.metrics.refusals(self.kind).inc();
+            self.change(|holder| holder.record_fenced(fence, now));
+        }
+        // A refusal shows that the platform can be reached.
+        let is_unanswered =
+            matches!(answer, Err(DutyApiError::Broken { .. } | DutyApiError::TimedOut { .. }));
+        if is_unanswered {
             self.metrics.failed_calls(self.kind).inc();
         }
-        self.change(|holder| holder.record_platform(is_answered, now));
-    }
-
-    /// Records that the platform refused `fence`.
-    pub(super) fn record_fenced(&self, fence: FencingNumber, now: MonotonicTime) {
-        self.metrics.refusals(self.kind).inc();
-        self.change(|holder| holder.record_fenced(fence, now));
+        self.change(|holder| holder.record_platform(!is_unanswered, now));
     }
 
     /// Returns the call to make next; `position` is that of this node among the candidates.
@@ -167,6 +176,12 @@
         self.kind
     }
 
+    /// Returns the node that holds the duty, as far as this one knows.
+    pub(super) fn holder(&self) -> Option<NodeId> {
+        let holder = self.holder.borrow();
+        holder.known_holder().map(|(record, _)| NodeId::clone(&record.holder))
+    }
+
     /// Returns what this node knows about the duty.
     pub(super) fn status(&self, now: MonotonicTime) -> DutyStatus {
         let holder = self.holder.borrow();
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -11,6 +11,7 @@
 use apricotknot_core::duty::DutyLimits;
 use apricotknot_core::fleet::NodeOrder;
 use apricotknot_core::fleet::NodePosition;
+use apricotknot_core::fleet::first_nodes;
 use apricotknot_core::membership::hash_text;
 use apricotknot_core::types::IncarnationNumber;
 use apricotknot_core::types::MonotonicTime;
@@ -45,6 +46,9 @@
 /// Interval between two snapshots for the scaling controller.
 const INPUTS_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of nodes that are told what the holder of a duty needs, the holder included.
+const LIKELY_HOLDERS: usize = 3;
+
 /// Holds the settings and the API of the duties.
 pub struct DutyParts<A> {
     /// Settings of the duties.
@@ -55,12 +59,6 @@
     pub metrics: DutyMetrics,
 }
 
-/// Duty with the channel to the task that makes its calls of the key-value service.
-struct StaffedDuty {
-    desk: DutyDesk,
-    actions: mpsc::UnboundedSender<DutyAction>,
-}
-
 /// What the usage reporter shares with the control thread.
 #[derive(Clone)]
 pub(crate) struct UsageParts {
@@ -70,6 +68,12 @@
     pub(crate) reports: Counter,
 }
 
+/// Duty with the channel to the task that makes its calls of the key-value service.
+struct StaffedDuty {
+    desk: DutyDesk,
+    actions: mpsc::UnboundedSender<DutyAction>,
+}
+
 /// Holds the duties that this deployment has.
 pub(crate) struct DutyRoster {
     duties: Vec<StaffedDuty>,
@@ -90,7 +94,7 @@
     pub(crate) store: S,
     /// State that is shared with the traffic threads.
     pub(crate) shared: Arc<SharedState>,
-    /// Counts of usage, if usage is reported.
+    /// Usage that the node counts, if there is a duty to report it.
     pub(crate) usage: Option<UsageParts>,
     /// Logger of the control thread.
     pub(crate) logger: Logger,
@@ -186,6 +190,33 @@
     }
 }
 
+/// Starts the task that reports usage.
+fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, usage: UsageParts) {
+    let clock = tools.clock;
+    let reporter = UsageReporter::new(UsageTools {
+        accounting: usage.accounting,
+        reports: usage.reports,
+        permit: tools.permit,
+        api: tools.api,
+        store: tools.store,
+        clock: move || clock.now(),
+        logger: tools.logger,
+    });
+    actix_rt::spawn(reporter.run());
+}
+
+impl DutyRoster {
+    /// Returns the holder of a duty, and the nodes whose turn comes next: [`LIKELY_HOLDERS`] together.
+    pub(crate) fn likely_holders(&self, kind: DutyKind, state: &ControlState) -> Vec<NodeId> {
+        let duty = self.duties.iter().find(|duty| duty.desk.kind() == kind);
+        let holder = duty.and_then(|duty| duty.desk.holder());
+        let names = state.registry().names();
+        let next = first_nodes(&names, hash_text(0, kind.name()), LIKELY_HOLDERS);
+        let next = next.into_iter().filter(|node| holder.as_ref() != Some(node));
+        holder.clone().into_iter().chain(next).take(LIKELY_HOLDERS).collect()
+    }
+}
+
 /// Creates one duty and what its task works with, and starts the task of its holder.
 fn staff<S: MetadataStore, A: DutyApi>(
     kind: DutyKind,
@@ -203,7 +234,7 @@
     let tools = DutyTools {
         node,
         permit: permit.clone(),
-        api: PermittedApi::new(parts.api.clone(), permit, desk.clone(), clock),
+        api: PermittedApi::new(parts.api.clone(), permit, clock).reporting_to(desk.clone()),
         store: context.store.clone(),
         clock,
         settings: parts.settings.clone(),
@@ -217,18 +248,3 @@
     let names = state.registry().names();
     NodeOrder::new(node, &names).position(hash_text(0, kind.name()))
 }
-
-/// Starts the task that reports usage.
-fn start_reporter<S: MetadataStore, A: DutyApi>(tools: DutyTools<S, A>, usage: UsageParts) {
-    let clock = tools.clock;
-    let reporter = UsageReporter::new(UsageTools {
-        accounting: usage.accounting,
-        reports: usage.reports,
-        permit: tools.permit,
-        api: tools.api,
-        store: tools.store,
-        clock: move || clock.now(),
-        logger: tools.logger,
-    });
-    actix_rt::spawn(reporter.run());
-}
--- a/crates/apricotknot-gateway/src/duties/permitted_api.rs
+++ b/crates/apricotknot-gateway/src/duties/permitted_api.rs
@@ -20,14 +20,21 @@
 pub struct PermittedApi<A> {
     api: A,
     permit: DutyPermit,
-    desk: DutyDesk,
+    /// Learns of refusals and of calls without answer.
+    desk: Option<DutyDesk>,
     clock: BootClock,
 }
 
 impl<A: DutyApi> PermittedApi<A> {
-    /// Creates the API of the duty that `permit` and `desk` are for.
-    pub(super) fn new(api: A, permit: DutyPermit, desk: DutyDesk, clock: BootClock) -> Self {
-        Self { api, permit, desk, clock }
+    /// Creates the API of the duty that `permit` is for.
+    pub fn new(api: A, permit: DutyPermit, clock: BootClock) -> Self {
+        Self { api, permit, desk: None, clock }
+    }
+
+    /// Tells `desk` of refusals and of calls without answer.
+    pub(super) fn reporting_to(mut self, desk: DutyDesk) -> Self {
+        self.desk = Some(desk);
+        self
     }
 
     async fn make<F>(&self, call: &DutyCall, exchange: F) -> Result<DutyAnswer, DutyApiError>
@@ -38,15 +45,12 @@
             return Err(DutyApiError::TermOver { fence: call.fence });
         }
         let answer = exchange.await;
-        let now = self.clock.now();
         if let Ok(DutyAnswer::Fenced) = answer {
             self.permit.end_term(call.fence);
-            self.desk.record_fenced(call.fence, now);
         }
-        // A refusal shows that the platform can be reached.
-        let is_unanswered =
-            matches!(answer, Err(DutyApiError::Broken { .. } | DutyApiError::TimedOut { .. }));
-        self.desk.record_platform(!is_unanswered, now);
+        if let Some(desk) = &self.desk {
+            desk.record_answer(call.fence, &answer, self.clock.now());
+        }
         answer
     }
 }
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -109,7 +109,7 @@
         let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
             let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
-            let (duty_metrics, logger) = (metrics.duties.clone(), logger.clone());
+            let (logger, duty_metrics) = (logger.clone(), metrics.duties.clone());
             move || ControlParts {
                 node: settings.node,
                 incarnation,
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -47,14 +47,14 @@
     pub open_relays: Gauge<i64, AtomicI64>,
     /// Attempts that other nodes relayed for this one.
     pub relayed_attempts: Counter,
-    /// Duties of this node.
-    pub duties: DutyMetrics,
     /// Requests that were counted for the usage reports.
     pub counted_requests: Counter,
     /// Requests that became known to this node after the report on their window.
     pub late_usage: Counter,
     /// Usage reports of this node that were accepted.
     pub usage_reports: Counter,
+    /// Duties of this node.
+    pub duties: DutyMetrics,
 }
 
 impl GatewayMetrics {
@@ -77,11 +77,11 @@
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         registry.register("open_relays", "Connections relayed for peers", open_relays.clone());
         registry.register("relayed_attempts", "Attempts through peers", relayed_attempts.clone());
-        let duties = DutyMetrics::default();
-        duties.register(&mut registry);
         registry.register("counted_requests", "Requests counted", counted_requests.clone());
         registry.register("late_usage", "Requests in no usage report", late_usage.clone());
         registry.register("usage_reports", "Usage reports accepted", usage_reports.clone());
+        let duties = DutyMetrics::default();
+        duties.register(&mut registry);
         Self {
             registry,
             calls,
@@ -90,10 +90,10 @@
             open_calls,
             open_relays,
             relayed_attempts,
-            duties,
             counted_requests,
             late_usage,
             usage_reports,
+            duties,
         }
     }
 
--- a/crates/apricotknot-gateway/src/operations.rs
+++ b/crates/apricotknot-gateway/src/operations.rs
@@ -1,4 +1,4 @@
-//! HTTP interface for the balancer and for operators: readiness, duties and metrics.
+//! HTTP interface for the balancer and for operators: readiness, duties, usage and metrics.
 
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
@@ -48,6 +48,10 @@
                 let duties = serde_json::to_vec(&self.context.shared.duties());
                 (StatusCode::OK, duties.unwrap_or_default().into())
             },
+            "/usage" => {
+                let usage = serde_json::to_vec(&self.context.shared.usage_status());
+                (StatusCode::OK, usage.unwrap_or_default().into())
+            },
             "/metrics" => (StatusCode::OK, self.context.metrics.render().into()),
             _ => (StatusCode::NOT_FOUND, Bytes::new()),
         }
