--- a/crates/apricotknot-gateway/src/duties/duty_desk.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -18,7 +18,8 @@
 use slog::warn;
 use tokio::sync::mpsc;
 
-use super::CallObserver;
+use super::DutyAnswer;
+use super::DutyApiError;
 use super::DutyMetrics;
 use super::DutyPermit;
 use super::DutyStatus;
@@ -70,6 +71,26 @@
         self.change(|holder| holder.withdraw(now));
     }
 
+    /// Records the end of a call of the platform under `fence`.
+    pub(super) fn record_answer(
+        &self,
+        fence: FencingNumber,
+        answer: &Result<DutyAnswer, DutyApiError>,
+        now: MonotonicTime,
+    ) {
+        if let Ok(DutyAnswer::Fenced) = answer {
+            self.metrics.refusals(self.kind).inc();
+            self.change(|holder| holder.record_fenced(fence, now));
+        }
+        // A refusal shows that the platform can be reached.
+        let is_unanswered =
+            matches!(answer, Err(DutyApiError::Broken { .. } | DutyApiError::TimedOut { .. }));
+        if is_unanswered {
+            self.metrics.failed_calls(self.kind).inc();
+        }
+        self.change(|holder| holder.record_platform(!is_unanswered, now));
+    }
+
     /// Returns the call to make next; `position` is that of this node among the candidates.
     pub(super) fn next_action(
         &self,
@@ -175,17 +196,3 @@
         }
     }
 }
-
-impl CallObserver for DutyDesk {
-    fn record_platform(&self, is_answered: bool, now: MonotonicTime) {
-        if !is_answered {
-            self.metrics.failed_calls(self.kind).inc();
-        }
-        self.change(|holder| holder.record_platform(is_answered, now));
-    }
-
-    fn record_fenced(&self, fence: FencingNumber, now: MonotonicTime) {
-        self.metrics.refusals(self.kind).inc();
-        self.change(|holder| holder.record_fenced(fence, now));
-    }
-}
--- a/crates/apricotknot-gateway/src/duties/duty_roster.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_roster.rs
@@ -226,7 +226,7 @@
     kind: DutyKind,
     parts: &DutyParts<A>,
     context: &RosterContext<S>,
-) -> (StaffedDuty, DutyTools<S, PermittedApi<A, DutyDesk>>) {
+) -> (StaffedDuty, DutyTools<S, PermittedApi<A>>) {
     let (clock, node) = (BootClock, NodeId::clone(&context.node));
     let permit = DutyPermit::new(NodeId::clone(&node));
     let limits = DutyLimits::new(parts.settings.lease_time);
@@ -238,7 +238,7 @@
     let tools = DutyTools {
         node,
         permit: permit.clone(),
-        api: PermittedApi::new(parts.api.clone(), permit, desk.clone(), clock),
+        api: PermittedApi::new(parts.api.clone(), permit, clock).reporting_to(desk.clone()),
         store: context.store.clone(),
         clock,
         settings: parts.settings.clone(),
--- a/crates/apricotknot-gateway/src/duties/permitted_api.rs
+++ b/crates/apricotknot-gateway/src/duties/permitted_api.rs
@@ -3,8 +3,6 @@
 use std::future::Future;
 
 use apricotknot_core::scaling::ScalingOrder;
-use apricotknot_core::types::FencingNumber;
-use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::usage::UsageReport;
 
 use super::DutyAnswer;
@@ -12,32 +10,31 @@
 use super::DutyApiError;
 use super::DutyCall;
 use super::DutyPermit;
+use super::duty_desk::DutyDesk;
 use crate::clock::BootClock;
 
-/// Learns how the calls of one duty ended.
-pub trait CallObserver: Clone + 'static {
-    /// Records that the platform refused `fence`.
-    fn record_fenced(&self, fence: FencingNumber, now: MonotonicTime);
-
-    /// Records whether the platform answered a call.
-    fn record_platform(&self, is_answered: bool, now: MonotonicTime);
-}
-
 /// Makes the calls of one duty through another API, each only while its term lasts.
 ///
 /// A term ends when the platform has seen a larger fencing number, so no later call has that one.
 #[derive(Clone, Debug)]
-pub struct PermittedApi<A, O> {
+pub struct PermittedApi<A> {
     api: A,
     permit: DutyPermit,
-    observer: O,
+    /// Learns of refusals and of calls without answer.
+    desk: Option<DutyDesk>,
     clock: BootClock,
 }
 
-impl<A: DutyApi, O: CallObserver> PermittedApi<A, O> {
+impl<A: DutyApi> PermittedApi<A> {
     /// Creates the API of the duty that `permit` is for.
-    pub fn new(api: A, permit: DutyPermit, observer: O, clock: BootClock) -> Self {
-        Self { api, permit, observer, clock }
+    pub fn new(api: A, permit: DutyPermit, clock: BootClock) -> Self {
+        Self { api, permit, desk: None, clock }
+    }
+
+    /// Tells `desk` of refusals and of calls without answer.
+    pub(super) fn reporting_to(mut self, desk: DutyDesk) -> Self {
+        self.desk = Some(desk);
+        self
     }
 
     async fn make<F>(&self, call: &DutyCall, exchange: F) -> Result<DutyAnswer, DutyApiError>
@@ -48,20 +45,17 @@
             return Err(DutyApiError::TermOver { fence: call.fence });
         }
         let answer = exchange.await;
-        let now = self.clock.now();
         if let Ok(DutyAnswer::Fenced) = answer {
             self.permit.end_term(call.fence);
-            self.observer.record_fenced(call.fence, now);
         }
-        // A refusal shows that the platform can be reached.
-        let is_unanswered =
-            matches!(answer, Err(DutyApiError::Broken { .. } | DutyApiError::TimedOut { .. }));
-        self.observer.record_platform(!is_unanswered, now);
+        if let Some(desk) = &self.desk {
+            desk.record_answer(call.fence, &answer, self.clock.now());
+        }
         answer
     }
 }
 
-impl<A: DutyApi, O: CallObserver> DutyApi for PermittedApi<A, O> {
+impl<A: DutyApi> DutyApi for PermittedApi<A> {
     async fn report_usage(
         &self,
         call: &DutyCall,
