--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -9,6 +9,7 @@
 use actix_http::KeepAlive;
 use actix_http::ServiceConfigBuilder;
 use actix_rt::net::TcpStream;
+use apricotknot_core::duty::DutyKind;
 use apricotknot_core::intake::IntakeLimits;
 use apricotknot_core::types::NodeId;
 use slog::Logger;
@@ -27,6 +28,8 @@
 use crate::control::start_control;
 use crate::driver::CallerSession;
 use crate::driver::TrafficContext;
+use crate::duties::DutyApi;
+use crate::duties::DutyParts;
 use crate::endpoint::AnswerBudget;
 use crate::intake::ConnectionShares;
 use crate::intake::IntakeConnection;
@@ -80,23 +83,26 @@
 impl<P: CallProtocol> GatewayNode<P> {
     /// Starts the control thread and listens for callers and operators.
     ///
-    /// Must be called within an actix system. `store` creates the client of the key-value service
-    /// from its address, and is called on the control thread.
+    /// Must be called within an actix system. `store` and `duty_api` create the clients of the
+    /// key-value service and of the API for duties from their addresses, on the control thread.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound or the control thread cannot be started.
-    pub async fn start<S, T, F>(
+    pub async fn start<S, T, A, F, G>(
         settings: GatewaySettings,
         protocol: P,
         translator: T,
         store: F,
+        duty_api: G,
         logger: Logger,
     ) -> io::Result<Self>
     where
         S: MetadataStore,
         T: RecordTranslator + Send,
+        A: DutyApi,
         F: FnOnce(SocketAddr) -> S + Send + 'static,
+        G: FnOnce(SocketAddr) -> A + Send + 'static,
     {
         let shared = Arc::new(SharedState::new(settings.staleness));
         let callers = listen(settings.caller_address)?;
@@ -111,10 +117,15 @@
         );
         let stop_timeout = settings.stop_timeout;
         let reserved_idle_time = settings.reserved_idle_time;
+        let counts_usage = settings
+            .duties
+            .as_ref()
+            .is_some_and(|duties| duties.kinds.contains(&DutyKind::UsageReport));
         let (memory_bytes, max_descriptors) = (settings.memory_bytes, settings.max_descriptors);
         let metrics = Arc::new(GatewayMetrics::new());
         let parts = {
-            let (shared, logger) = (Arc::clone(&shared), logger.clone());
+            let (shared, metrics) = (Arc::clone(&shared), Arc::clone(&metrics));
+            let logger = logger.clone();
             move || ControlParts {
                 node: settings.node,
                 incarnation,
@@ -125,7 +136,11 @@
                 limits: FleetLimits { retries: settings.retries },
                 store: store(settings.store_address),
                 translator,
+                duties: settings
+                    .duties
+                    .map(|settings| DutyParts { api: duty_api(settings.address), settings }),
                 shared,
+                metrics,
                 logger,
             }
         };
@@ -133,6 +148,7 @@
         let intake = InterfaceIntakes::new(memory_bytes, max_descriptors, &metrics, &logger);
         let context = TrafficContext {
             node: name,
+            counts_usage,
             reserved_idle_time,
             protocol,
             http: ServiceConfigBuilder::new().keep_alive(KeepAlive::Os).build(),
