--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -7,6 +7,7 @@
 use super::PlacementPlan;
 use super::PlacementQuery;
 use super::endpoint_load::EndpointLoad;
+use super::engine_time_price::EngineTimePrice;
 use super::placement::FAILURE_COST;
 use super::placement::LONG_PROMPT_TOKENS;
 use super::placement::TIMELY_FRACTION;
@@ -40,12 +41,6 @@
 /// Fraction of an engine's slots that short streams fill before another engine is preferred.
 const PACKED_FRACTION: f64 = 0.75;
 
-/// Value that other requests gain per second of endpoint time when all endpoints are busy.
-const OPPORTUNITY_COST: f64 = 1.5;
-
-/// Prefill backlog at which an endpoint counts as fully utilized.
-const BUSY_BACKLOG: Duration = Duration::from_millis(300);
-
 /// Cost of each second until an endpoint is ready, in units of request value.
 const READY_COST: f64 = 1.5;
 
@@ -119,7 +114,8 @@
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let prefill = engine.prefill_time(query.size.prompt);
-    let price = prefill.as_secs_f64() * OPPORTUNITY_COST * fleet_utilization(engine, &candidates);
+    let loads = candidates.iter().map(|candidate| (&candidate.load, candidate.backlog));
+    let price = EngineTimePrice::new(engine, loads, now);
     if candidates.is_empty() {
         return None;
     }
@@ -135,22 +131,12 @@
             return None;
         }
         let plan = plan_with_count(engine, &candidates, order, query, (count, part_time), now)?;
-        Some(ScoredPlan { time_price: price, ..plan })
+        Some(ScoredPlan { time_price: price.cost(count, part_time), ..plan })
     });
     let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
     plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
 }
 
-/// Returns the mean utilization of the candidates, from 0 to 1.
-fn fleet_utilization(engine: &EngineModel, candidates: &[PlacementCandidate]) -> f64 {
-    let utilizations = candidates.iter().map(|candidate| {
-        let running = f64::from(candidate.load.running) / f64::from(engine.slots.max(1));
-        let prefill = candidate.backlog.as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
-        running.max(prefill).min(1.0)
-    });
-    utilizations.sum::<f64>() / (candidates.len().max(1) as f64)
-}
-
 /// Returns the best plan over `count` endpoints that prefill for `part_time` each.
 ///
 /// Returns `None` if fewer endpoints can take part or their free memory is too small.
