--- a/crates/apricotknot-gateway/src/duties/mod.rs
+++ b/crates/apricotknot-gateway/src/duties/mod.rs
@@ -36,7 +36,6 @@
 pub use duty_settings::DutySettings;
 pub use duty_status::DutyStatus;
 pub use duty_tools::DutyTools;
-pub use permitted_api::CallObserver;
 pub use permitted_api::PermittedApi;
 pub use scaling_controller::ScalingController;
 pub use scaling_inputs::ScalingInputs;
