placement: price of engine time from the utilization of the engines

Change: the price is that of a busy engine times the utilization, for the whole prefill however it is spread; prompts below 120,000 tokens are packed; older requests come first again; a rank changes the value by three tenths, not by half.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -8,7 +8,6 @@
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
-use super::placement::LONG_PROMPT_TOKENS;
 use super::placement::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
 use super::request_value::work_value;
@@ -36,8 +35,6 @@
     pub(super) context: TokenCount,
     /// Pause limit and value of each stream that the endpoint decodes.
     streams: Vec<(Duration, f64)>,
-    /// Start of the phase and value of each short request that the endpoint runs.
-    short_requests: Vec<(MonotonicTime, f64)>,
     /// Total value of the requests that the endpoint runs and has not begun to answer.
     prefill_value: f64,
     /// Start and duration of each prefill for a request that the endpoint runs.
@@ -53,9 +50,6 @@
             WorkRole::Runner => self.running += 1,
             WorkRole::Helper => self.helper_count += 1,
         }
-        if work.role == WorkRole::Runner && work.prompt < LONG_PROMPT_TOKENS {
-            self.short_requests.push((work.since, work_value(work)));
-        }
         if work.phase == WorkPhase::Decode {
             self.context += work.memory;
             if work.role == WorkRole::Runner {
@@ -78,11 +72,6 @@
         u32::try_from(self.streams.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the start of the phase and the value of each short request that the endpoint runs.
-    pub(super) fn short_requests(&self) -> impl Iterator<Item = (MonotonicTime, f64)> {
-        self.short_requests.iter().copied()
-    }
-
     /// Returns the time until all prefills in progress are done, one after the other.
     pub(super) fn backlog(&self, now: MonotonicTime) -> Duration {
         let prefills = self.own_prefills.iter().chain(&self.helper_prefills).copied();
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -74,7 +74,7 @@
 /// Minimum length of a long prompt, in tokens.
 ///
 /// A long prompt may wait until it can be answered on time.
-pub(super) const LONG_PROMPT_TOKENS: TokenCount = 24_000;
+const LONG_PROMPT_TOKENS: TokenCount = 24_000;
 
 /// Describes the request to be placed.
 #[derive(Clone, Debug)]
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -7,9 +7,8 @@
 use super::PlacementPlan;
 use super::PlacementQuery;
 use super::endpoint_load::EndpointLoad;
-use super::engine_time_price::EngineTimePrice;
+use super::engine_time_price::price_per_second;
 use super::placement::FAILURE_COST;
-use super::placement::LONG_PROMPT_TOKENS;
 use super::placement::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
 use super::request_value::request_value;
@@ -38,6 +37,9 @@
 /// Value that an engine without short streams has for future long prompts.
 const PACKING_COST: f64 = 0.3;
 
+/// Length from which prompts are kept off engines that others fill, in tokens.
+const PACKED_PROMPT_TOKENS: TokenCount = 120_000;
+
 /// Fraction of an engine's slots that short streams fill before another engine is preferred.
 const PACKED_FRACTION: f64 = 0.75;
 
@@ -114,8 +116,7 @@
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let prefill = engine.prefill_time(query.size.prompt);
-    let loads = candidates.iter().map(|candidate| (&candidate.load, candidate.backlog));
-    let price = EngineTimePrice::new(engine, loads, now);
+    let time_price = price_per_second(engine, &candidates) * prefill.as_secs_f64();
     if candidates.is_empty() {
         return None;
     }
@@ -131,7 +132,7 @@
             return None;
         }
         let plan = plan_with_count(engine, &candidates, order, query, (count, part_time), now)?;
-        Some(ScoredPlan { time_price: price.cost(count, part_time), ..plan })
+        Some(ScoredPlan { time_price, ..plan })
     });
     let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
     plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
@@ -272,7 +273,11 @@
     let packed_slots = f64::from(engine.slots) * PACKED_FRACTION;
     let free_fraction = 1.0 - f64::from(load.running) / packed_slots;
     PACKING_COST
-        * if query.size.prompt < LONG_PROMPT_TOKENS { free_fraction.abs() } else { -free_fraction }
+        * if query.size.prompt < PACKED_PROMPT_TOKENS {
+            free_fraction.abs()
+        } else {
+            -free_fraction
+        }
 }
 
 /// Returns the time between two events of a new stream that is decoded along with those of `load`.
--- a/crates/apricotknot-core/src/fleet/request_value.rs
+++ b/crates/apricotknot-core/src/fleet/request_value.rs
@@ -10,7 +10,10 @@
 const TOKENS_PER_VALUE: f64 = 60_000.0;
 
 /// Factor of the value from each priority rank to the next.
-const RANK_FACTOR: f64 = 0.5;
+///
+/// A rank decides among requests that are nearly alike; it does not let a short prompt of one account
+/// push out a long one of another.
+const RANK_FACTOR: f64 = 0.7;
 
 /// Largest rank, in both directions, that changes the value; no request is worth nothing.
 const MAX_RANK: PriorityRank = 4;
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -21,7 +21,6 @@
 use crate::control::PlacementRequest;
 use crate::control::wait_queue::PlacementSender;
 use crate::control::wait_queue::WaitingRequest;
-use crate::control::wait_queue::precedes;
 
 /// Refusal of a request that crashes endpoints, or that has a part that does.
 const QUARANTINE_REFUSAL: PlacementRefusal =
@@ -83,11 +82,12 @@
     /// Returns the position of `query` among the requests that wait at any node.
     fn queue_position(&self, query: &PlacementQuery, now: MonotonicTime) -> QueuePosition {
         let age = now.saturating_sub(query.arrived);
-        let peers = self.fleet.peer_waits(now).filter(|(_, prompt, waited)| {
-            *prompt <= query.size.prompt && precedes(*waited, query, age)
-        });
+        let peers = self
+            .fleet
+            .peer_waits(now)
+            .filter(|(_, prompt, waited)| *waited > age && *prompt <= query.size.prompt);
         QueuePosition {
-            rank: self.wait_queue.count_before(query, now) + peers.count(),
+            rank: self.wait_queue.count_before(query) + peers.count(),
             ahead: self.wait_queue.count_for(&query.service),
         }
     }
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -63,12 +63,10 @@
     }
 
     /// Counts the requests that come before `query`: older ones that are no larger.
-    pub(super) fn count_before(&self, query: &PlacementQuery, now: MonotonicTime) -> usize {
+    pub(super) fn count_before(&self, query: &PlacementQuery) -> usize {
         let others = self.requests.iter().map(|waiting| &waiting.request.query);
-        let age = now.saturating_sub(query.arrived);
         let before = others.filter(|other| {
-            let waited = now.saturating_sub(other.arrived);
-            other.size.prompt <= query.size.prompt && precedes(waited, query, age)
+            other.arrived < query.arrived && other.size.prompt <= query.size.prompt
         });
         before.count()
     }
@@ -91,14 +89,6 @@
     }
 }
 
-/// Returns whether a request that has `waited` comes before `query`, which has waited for `age`.
-///
-/// An older one does, unless it is already late and `query` is not: a late one waits for spare room.
-pub(super) fn precedes(waited: Duration, query: &PlacementQuery, age: Duration) -> bool {
-    let is_late = |waited| waited >= query.target_latency;
-    waited > age && (is_late(age) || !is_late(waited))
-}
-
 fn wait_snapshot(query: &PlacementQuery, now: MonotonicTime) -> WaitSnapshot {
     let age: Duration = now.saturating_sub(query.arrived);
     WaitSnapshot {
--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -21,10 +21,11 @@
 mod gateway_fleet;
 #[path = "support/soak_callers.rs"]
 mod soak_callers;
+#[path = "support/soak_checks.rs"]
+mod soak_checks;
 #[path = "support/soak_fault.rs"]
 mod soak_fault;
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -45,18 +46,18 @@
 use fault_proxy::LinkDirection;
 use gateway_fleet::Fleet;
 use gateway_fleet::KEY;
-use gateway_fleet::LEASE_TIME;
 use gateway_fleet::lookup_request;
 use gateway_fleet::next_node_address;
 use gateway_fleet::order_request;
 use gateway_fleet::own_program;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
-use soak_callers::CallKind;
 use soak_callers::REVOKED_KEY;
 use soak_callers::SoakLog;
 use soak_callers::lock;
 use soak_callers::start_callers;
+use soak_checks::check_duties;
+use soak_checks::check_runs;
 use soak_fault::SIGNAL_SERIES;
 use soak_fault::SoakFault;
 use soak_fault::endpoint_id;
@@ -98,9 +99,6 @@
 /// Number of nodes, unless `SOAK_NODES` names another one.
 const DEFAULT_NODE_COUNT: usize = 3;
 
-/// Maximum number of runs of a repeatable request.
-const MAX_REPEATABLE_RUNS: usize = 2;
-
 /// Runs one seed.
 struct Soak {
     fleet: Fleet,
@@ -187,8 +185,8 @@
         wait_until("all memory at engines is released", || {
             soak.fleet.engines.iter().all(|engine| engine.reserved_tokens() == 0)
         });
-        soak.check_runs();
-        soak.check_duties();
+        check_runs(&soak.fleet, &soak.log);
+        check_duties(&soak.fleet, &soak.log);
         let mut violations = std::mem::take(&mut *lock(&soak.log.violations));
         if !violations.is_empty() {
             violations.extend(soak.history);
@@ -421,18 +419,6 @@
         }
     }
 
-    /// Checks that one node at a time acted, and that some node acts again.
-    fn check_duties(&self) {
-        let Some(api) = &self.fleet.duty_api else {
-            return;
-        };
-        let before = api.calls().len();
-        wait_until("usage is reported again", || api.calls().len() > before);
-        for violation in api.violations(LEASE_TIME) {
-            self.log.record_violation(violation);
-        }
-    }
-
     fn set_service_fault(&self, service: usize, endpoint_fault: EndpointFault) {
         for endpoint in [service * 2, service * 2 + 1] {
             self.endpoint(endpoint).set_fault(endpoint_fault);
@@ -470,28 +456,6 @@
             }
         }
     }
-
-    /// Checks the runs at endpoints against the answers that callers received.
-    fn check_runs(&self) {
-        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-        for endpoint in self.fleet.engines.iter().chain(&self.fleet.plain_endpoints) {
-            for run in endpoint.executions() {
-                *runs.entry(run.request_id).or_default() += 1;
-            }
-        }
-        for call in lock(&self.log.sent).iter() {
-            let count = runs.get(&call.id).copied().unwrap_or_default();
-            if call.is_reported_unexecuted && count > 0 {
-                self.log.record_violation(format!(
-                    "{count} runs, but reported as not executed: {call:?}"
-                ));
-            }
-            let max_runs = if call.kind == CallKind::Order { 1 } else { MAX_REPEATABLE_RUNS };
-            if count > max_runs {
-                self.log.record_violation(format!("{count} runs: {call:?}"));
-            }
-        }
-    }
 }
 
 fn node_count() -> usize {
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -1,5 +1,7 @@
 //! Gateway nodes as processes, in front of a stand-in of the users' platform.
 
+#[path = "duty_section.rs"]
+mod duty_section;
 #[path = "gateway_answer.rs"]
 mod gateway_answer;
 
@@ -250,7 +252,7 @@
         let (caller_address, operations_address) = (next_node_address(), next_node_address());
         let peer_address = next_node_address();
         let settings = dir.join("gateway.ini");
-        let duties = self.duty_api.as_ref().map(duty_settings).unwrap_or_default();
+        let duties = self.duty_api.as_ref().map(duty_section::duty_section).unwrap_or_default();
         let text = format!(
             "[node]\nname = node-{index}\ndata_centre = north\n\n[gateway]\n\
              callers = {caller_address}\noperations = {operations_address}\nnews = {peer_address}\n{limits}\n\
@@ -264,16 +266,6 @@
     }
 }
 
-/// Returns the section that switches all duties on.
-fn duty_settings(api: &DutyApiServer) -> String {
-    format!(
-        "[duties]\naddress = {}\nkinds = usage_report, autoscale\nlease_ms = {}\n\
-         usage_window_s = 1\nusage_due_s = 10\ncalls_per_s = {DUTY_CALLS_PER_SECOND}\n\n",
-        api.address(),
-        LEASE_TIME.as_millis()
-    )
-}
-
 /// Returns the program of the build under test.
 pub(crate) fn own_program() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_apricotknot"))
