--- a/crates/apricotknot-core/src/duty/duty_holder.rs
+++ b/crates/apricotknot-core/src/duty/duty_holder.rs
@@ -375,7 +375,12 @@
     fn take(&mut self, granted: GrantedLease, revision: RevisionNumber, now: MonotonicTime) {
         let DutyLease { era, .. } = granted.lease;
         let is_current = self.contact.is_some_and(|contact| contact.era == era);
-        let Some(fence) = fencing_number(era, revision).filter(|_| is_current) else {
+        let is_replaced = self.contents.as_ref().is_some_and(|contents| {
+            let found = contents.entry.as_ref().map(|entry| entry.revision);
+            contents.era == era && contents.revision > revision && found != Some(revision)
+        });
+        let may_hold = is_current && !is_replaced;
+        let Some(fence) = fencing_number(era, revision).filter(|_| may_hold) else {
             return self.wait_after_failure(now);
         };
         let acts_from = self.acts_from(now);
--- a/crates/apricotknot-core/src/duty/duty_limits.rs
+++ b/crates/apricotknot-core/src/duty/duty_limits.rs
@@ -20,7 +20,7 @@
 /// Holds the times that bound the terms of a duty.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DutyLimits {
-    /// Time within which no two nodes may take turns as holders.
+    /// Time for which a node that has acted does not act again if another one has acted since.
     pub lease_time: Duration,
     /// Lease that the record of the holder is bound to.
     pub ttl: Duration,
@@ -28,7 +28,7 @@
     pub margin: Duration,
     /// Interval between two renewals of the lease.
     pub renew_interval: Duration,
-    /// Time in which a call of the duty that was sent last has ended.
+    /// Longest time of one call of the platform; later its sender waits for it no more.
     pub call_time: Duration,
     /// Time by which each candidate waits longer than the one before it.
     pub turn_step: Duration,
--- a/crates/apricotknot-core/src/fleet/engine_time_price.rs
+++ b/crates/apricotknot-core/src/fleet/engine_time_price.rs
@@ -14,8 +14,8 @@
 /// Returns the price of a second of engine time, in units of request value.
 ///
 /// While engines are idle, nobody misses the time. The busier they are, the more likely a request
-/// that arrives finds none. Each node derives the price from the work of all nodes, so all arrive at
-/// nearly the same one without agreeing on it.
+/// that arrives finds none. Each node derives the price from the work of all nodes, so for the same
+/// candidates all arrive at nearly the same one without agreeing on it.
 pub(super) fn price_per_second(engine: &EngineModel, candidates: &[PlacementCandidate]) -> f64 {
     let utilizations = candidates.iter().map(|candidate| {
         let running = f64::from(candidate.load.running) / f64::from(engine.slots.max(1));
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -37,8 +37,10 @@
 /// Value that an engine without short streams has for future long prompts.
 const PACKING_COST: f64 = 0.3;
 
-/// Length from which prompts are kept off engines that others fill, in tokens.
-const PACKED_PROMPT_TOKENS: TokenCount = 120_000;
+/// Length from which a prompt prefers engines without streams, in tokens.
+///
+/// Shorter ones are packed beside others.
+const UNPACKED_PROMPT_TOKENS: TokenCount = 120_000;
 
 /// Fraction of an engine's slots that short streams fill before another engine is preferred.
 const PACKED_FRACTION: f64 = 0.75;
@@ -267,13 +269,14 @@
 
 /// Returns the packing cost of running a request on an engine with this load.
 ///
-/// For a short request, it is zero on an engine with [`PACKED_FRACTION`] of its slots in use and
-/// rises as more or fewer are. For a long prompt, it is negative on an engine with fewer in use.
+/// For a prompt below [`UNPACKED_PROMPT_TOKENS`], it is zero on an engine with [`PACKED_FRACTION`] of
+/// its slots in use and rises as more or fewer are. From there on, it is negative on an engine with
+/// fewer in use.
 fn packing_cost(engine: &EngineModel, load: &EndpointLoad, query: &PlacementQuery) -> f64 {
     let packed_slots = f64::from(engine.slots) * PACKED_FRACTION;
     let free_fraction = 1.0 - f64::from(load.running) / packed_slots;
     PACKING_COST
-        * if query.size.prompt < PACKED_PROMPT_TOKENS {
+        * if query.size.prompt < UNPACKED_PROMPT_TOKENS {
             free_fraction.abs()
         } else {
             -free_fraction
--- a/crates/apricotknot-core/src/scaling/centre_spread.rs
+++ b/crates/apricotknot-core/src/scaling/centre_spread.rs
@@ -15,8 +15,10 @@
     centres: &BTreeMap<DataCentreId, CentreCount>,
     limits: &ScalingLimits,
 ) -> CentreOrders {
-    let low =
-        centres.iter().filter(|(_, count)| !count.is_evacuated && count.supply() < limits.min);
+    // Endpoints that cannot be reached count: an order of the minimum would take those beyond it away.
+    let low = centres
+        .iter()
+        .filter(|(_, count)| !count.is_evacuated && count.present() + count.ordered < limits.min);
     low.map(|(centre, _)| (Arc::clone(centre), limits.min)).collect()
 }
 
--- a/crates/apricotknot-core/src/scaling/order_book.rs
+++ b/crates/apricotknot-core/src/scaling/order_book.rs
@@ -13,8 +13,11 @@
 /// Maximum delay before an order is sent again.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
 
-/// Least time in which an accepted order is seen to be carried out, in addition to the boot time.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Multiple of the boot time within which the endpoints of an accepted order serve.
+const SETTLE_FACTOR: f64 = 1.5;
+
+/// Time in addition to that, until they are announced.
+const ANNOUNCE_TIME: Duration = Duration::from_secs(4);
 
 /// Stage of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -165,5 +168,5 @@
 
 /// Returns the time within which the endpoints of an accepted order are there.
 pub(super) fn settle_time(boot_time: Duration) -> Duration {
-    boot_time.mul_f64(1.5) + SETTLE_TIME
+    boot_time.mul_f64(SETTLE_FACTOR) + ANNOUNCE_TIME
 }
--- a/crates/apricotknot-core/src/usage/count_schedule.rs
+++ b/crates/apricotknot-core/src/usage/count_schedule.rs
@@ -10,7 +10,9 @@
 /// Shortest time between two snapshots after changes.
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time by which each node of the fleet lengthens it: one node receives those of all others.
+/// Shortest time between two snapshots after changes, for each node of the fleet.
+///
+/// One node receives the snapshots of all others. The larger one of both bounds applies.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(2);
 
 /// Time after the end of a window in which requests that began in it become known.
@@ -22,7 +24,7 @@
 /// Number of snapshots after the end of each window; datagrams may be lost.
 const FINAL_SNAPSHOTS: u32 = 3;
 
-/// Part of a window between two of them.
+/// Part of a window between two snapshots after its end.
 const REPEAT_FRACTION: f64 = 0.1;
 
 /// Decides when a node sends its counts: after changes, after the end of a window, and when other
--- a/crates/apricotknot-core/tests/scaling.rs
+++ b/crates/apricotknot-core/tests/scaling.rs
@@ -102,6 +102,17 @@
     assert!(fleet.count("a") + fleet.count("b") >= 41, "{}", fleet.total());
 }
 
+#[test]
+fn data_centre_that_the_holder_cannot_reach_gets_no_order_that_takes_endpoints_away() {
+    let mut fleet = FakeFleet::new(15, 2, 60);
+    fleet.run(seconds(30), 30.0);
+    fleet.unreachable.insert("c".to_owned());
+    let since = fleet.now;
+    fleet.run(seconds(30), 30.0);
+    assert!(fleet.orders_since(since).iter().all(|order| &*order.data_centre != "c"));
+    assert_eq!(fleet.count("c"), 15);
+}
+
 #[test]
 fn evacuated_data_centre_is_replaced_elsewhere_and_gets_no_order() {
     let mut fleet = FakeFleet::new(15, 2, 60);
--- a/crates/apricotknot-core/tests/support/fake_fleet.rs
+++ b/crates/apricotknot-core/tests/support/fake_fleet.rs
@@ -36,6 +36,8 @@
     /// All orders, with their times.
     pub(crate) orders: Vec<(Duration, ScalingOrder)>,
     pub(crate) evacuated: BTreeSet<String>,
+    /// Data centres that the node cannot reach.
+    pub(crate) unreachable: BTreeSet<String>,
     /// Data centres that accept orders and start nothing.
     pub(crate) refusing: BTreeSet<String>,
     /// Largest load beyond what the endpoints could serve.
@@ -60,6 +62,7 @@
             api: ApiMode::Prompt,
             orders: Vec::new(),
             evacuated: BTreeSet::new(),
+            unreachable: BTreeSet::new(),
             refusing: BTreeSet::new(),
             worst_shortage: 0.0,
             limits: ScalingLimits { min, max, boot_time: BOOT_TIME },
@@ -159,7 +162,10 @@
 
     fn sample(&mut self, load: f64) -> ServiceSample {
         let serving = self.endpoints.iter().filter(|(_, serves_at)| **serves_at <= self.now);
-        let serving = serving.map(|(key, _)| endpoint_sample(key, EndpointStatus::Ready));
+        let serving = serving.map(|(key, _)| match self.unreachable.contains(&key.0) {
+            true => endpoint_sample(key, EndpointStatus::Unreachable),
+            false => endpoint_sample(key, EndpointStatus::Ready),
+        });
         let leaving = self.leaving.iter().map(|key| endpoint_sample(key, EndpointStatus::Leaving));
         let endpoints = serving.chain(leaving).collect();
         self.leaving.clear();
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -72,6 +72,8 @@
     pipelined: Option<Request>,
     buffered_bytes: usize,
     has_unread_input: bool,
+    /// Whether a later request has a head that is too large; nothing more is read then.
+    is_input_refused: bool,
     is_closing: bool,
     /// Longest time for which input is discarded at the end.
     linger_time: Duration,
@@ -89,6 +91,7 @@
             pipelined: None,
             buffered_bytes: 0,
             has_unread_input: false,
+            is_input_refused: false,
             is_closing: false,
             linger_time: LINGER_TIMEOUT,
         }
@@ -288,7 +291,7 @@
         if head.expect() {
             let continue_response = Response::new(StatusCode::CONTINUE).drop_body();
             self.encode(Message::Item((continue_response, BodySize::None)))?;
-            self.flush().await?;
+            self.flush_continue(limits.idle_timeout).await?;
         }
         let mut body = Vec::new();
         let most = declared.unwrap_or(limits.body_bytes);
@@ -323,6 +326,19 @@
         }
     }
 
+    /// Writes the answer that asks for the body; a caller that does not read it may have to give way.
+    async fn flush_continue(&mut self, time_limit: Duration) -> Result<(), ConnectionError> {
+        let written = poll_fn(|context| match self.intake.poll_gave_way(context) {
+            Poll::Ready(()) => Poll::Ready(Err(ConnectionError::GaveWay)),
+            Poll::Pending => self.poll_flush(context),
+        });
+        match tokio::time::timeout(time_limit, written).await {
+            Ok(Err(ConnectionError::GaveWay)) => Err(self.refuse_body()),
+            Ok(written) => written,
+            Err(_) => Err(ConnectionError::Closed),
+        }
+    }
+
     /// Takes memory for `bytes` more bytes of a body that may have `most`.
     fn make_room(
         &mut self,
@@ -389,7 +405,7 @@
         if matches!(self.poll_flush(context), Poll::Ready(Err(_))) {
             return Poll::Ready(());
         }
-        if self.pipelined.is_some() {
+        if self.pipelined.is_some() || self.is_input_refused {
             return Poll::Pending;
         }
         match Pin::new(&mut self.framed).next_item(context) {
@@ -398,6 +414,12 @@
                 self.pipelined = Some(request);
                 Poll::Pending
             },
+            // The request in progress is answered before the connection closes.
+            Poll::Ready(Some(Err(ParseError::TooLarge))) => {
+                (self.is_input_refused, self.has_unread_input) = (true, true);
+                self.is_closing = true;
+                Poll::Pending
+            },
             // The end of the input, a broken connection, or bytes that are not a request.
             Poll::Ready(_) => Poll::Ready(()),
         }
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -70,6 +70,8 @@
                 },
             };
             if !is_reusable {
+                // The request has ended; its answer may still have to be written.
+                self.connection.finish_request();
                 self.connection.close().await;
                 return;
             }
--- a/crates/apricotknot-gateway/src/duties/duty_desk.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -8,7 +8,6 @@
 use apricotknot_core::duty::DutyHolder;
 use apricotknot_core::duty::DutyKind;
 use apricotknot_core::duty::DutyNotice;
-use apricotknot_core::duty::DutyOutcome;
 use apricotknot_core::fleet::NodePosition;
 use apricotknot_core::types::FencingNumber;
 use apricotknot_core::types::MonotonicTime;
@@ -111,25 +110,31 @@
     ) {
         let store = DutyStore::new(store, self.kind);
         while let Some(action) = actions.recv().await {
-            let (outcome, error) = store.carry_out(action).await;
-            if let Some(error) = error {
-                warn!(
-                    self.logger, "duty: call of the key-value service failed; going on without it";
-                    "duty" => self.kind.name(), "error" => %error
-                );
-            }
-            self.complete(outcome, clock.now());
+            self.make(&store, action, clock).await;
             // A granted lease is used at once; candidates wait for their turn.
             if !self.holder.borrow().is_candidate()
                 && let Some(next) = self.next_action(|| ALONE, clock.now())
             {
-                self.complete(store.carry_out(next).await.0, clock.now());
+                self.make(&store, next, clock).await;
             }
         }
     }
 
-    fn complete(&self, outcome: DutyOutcome, now: MonotonicTime) {
-        self.change(|holder| holder.complete(outcome, now));
+    /// Makes one call, and tells the holder how it ended.
+    async fn make<S: MetadataStore>(
+        &self,
+        store: &DutyStore<S>,
+        action: DutyAction,
+        clock: BootClock,
+    ) {
+        let (outcome, error) = store.carry_out(action).await;
+        if let Some(error) = error {
+            warn!(
+                self.logger, "duty: call of the key-value service failed; going on without it";
+                "duty" => self.kind.name(), "error" => %error
+            );
+        }
+        self.change(|holder| holder.complete(outcome, clock.now()));
     }
 
     /// Changes the holder, and publishes its term and its notices.
--- a/crates/apricotknot-gateway/src/duties/duty_metrics.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_metrics.rs
@@ -34,8 +34,16 @@
     pub fn register(&self, registry: &mut Registry) {
         registry.register("duty_held", "Whether this node holds the duty", self.held.clone());
         registry.register("duty_terms", "Terms that this node took", self.terms.clone());
-        registry.register("duty_refusals", "Calls with a late number", self.refusals.clone());
-        registry.register("duty_failed_calls", "Calls that failed", self.failed_calls.clone());
+        registry.register(
+            "duty_refusals",
+            "Calls that were refused for their fencing number",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "duty_failed_calls",
+            "Calls of the platform without an answer",
+            self.failed_calls.clone(),
+        );
         self.scaling.register(registry);
     }
 
@@ -46,17 +54,17 @@
 }
 
 impl DutyMetrics {
-    /// Returns the number of terms of this node.
+    /// Returns the counter of terms of this node.
     pub fn terms(&self, kind: DutyKind) -> Counter {
         self.terms.get_or_create(&labels(kind)).clone()
     }
 
-    /// Returns the number of calls that were refused for their fencing number.
+    /// Returns the counter of calls that were refused for their fencing number.
     pub fn refusals(&self, kind: DutyKind) -> Counter {
         self.refusals.get_or_create(&labels(kind)).clone()
     }
 
-    /// Returns the number of calls that were not carried out, as far as is known.
+    /// Returns the counter of calls without an answer; they may have been carried out.
     pub fn failed_calls(&self, kind: DutyKind) -> Counter {
         self.failed_calls.get_or_create(&labels(kind)).clone()
     }
--- a/crates/apricotknot-gateway/src/intake/intake_metrics.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_metrics.rs
@@ -2,7 +2,7 @@
 
 use prometheus_client::metrics::counter::Counter;
 
-/// Counts what the clients of one interface were refused; clones share their counts.
+/// Counts what the clients of all interfaces of a node were refused; clones share their counts.
 #[derive(Clone, Debug, Default)]
 pub struct IntakeMetrics {
     /// Connections that were closed because they held room or memory without getting on.
--- a/crates/apricotknot-gateway/src/relay/relay_session.rs
+++ b/crates/apricotknot-gateway/src/relay/relay_session.rs
@@ -73,7 +73,13 @@
 
     /// Relays until one of both ends closes its connection.
     pub async fn run(mut self) {
-        match tokio::time::timeout(OPENING_TIMEOUT, self.receive_opening()).await {
+        let opening =
+            tokio::time::timeout(OPENING_TIMEOUT, receive_from(&mut self.node, &self.context));
+        let opening = tokio::select! {
+            opening = opening => opening,
+            () = self.intake.gave_way() => return,
+        };
+        match opening {
             Ok(Ok(received)) if self.intake.serve() => self.serve(received).await,
             Ok(Ok(_)) => {},
             Ok(Err(error)) => self.log_dropped(&error),
@@ -81,12 +87,6 @@
         }
     }
 
-    async fn receive_opening(&mut self) -> Result<ReceivedOpening, RelayError> {
-        set_socket_options(&self.node)?;
-        let seals = self.context.shared.peer_seals();
-        receive_opening(&mut self.node, &seals).await
-    }
-
     async fn serve(mut self, received: ReceivedOpening) {
         let endpoint = EndpointId::clone(&received.opening.endpoint);
         let connected = self.connect(&endpoint).await;
@@ -198,3 +198,12 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(1..) = input.read(&mut buffer).await {}
 }
+
+/// Receives the message with which another node asks for an endpoint.
+async fn receive_from<P>(
+    node: &mut TcpStream,
+    context: &TrafficContext<P>,
+) -> Result<ReceivedOpening, RelayError> {
+    set_socket_options(node)?;
+    receive_opening(node, &context.shared.peer_seals()).await
+}
