placement: the new weight of long prompts holds in fleets of more than 24 nodes

Above 24 nodes a late prompt, which takes only engines without a prefill, pays a quarter of the price.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -10,7 +10,7 @@
 use super::WorkRole;
 use super::placement::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
-use super::request_value::work_value;
+use super::request_value::RequestValues;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
@@ -44,7 +44,7 @@
 }
 
 impl EndpointLoad {
-    fn add(&mut self, work: &WorkItem) {
+    fn add(&mut self, work: &WorkItem, values: RequestValues) {
         self.memory += work.memory;
         match work.role {
             WorkRole::Runner => self.running += 1,
@@ -53,7 +53,7 @@
         if work.phase == WorkPhase::Decode {
             self.context += work.memory;
             if work.role == WorkRole::Runner {
-                self.streams.push((work.pause_limit, work_value(work)));
+                self.streams.push((work.pause_limit, values.of_work(work)));
             }
             return;
         }
@@ -62,7 +62,7 @@
             WorkRole::Helper => self.helper_prefills.push(prefill),
             WorkRole::Runner => {
                 self.own_prefills.push(prefill);
-                self.prefill_value += work_value(work);
+                self.prefill_value += values.of_work(work);
             },
         }
     }
@@ -129,9 +129,10 @@
     fleet: &FleetState,
     now: MonotonicTime,
 ) -> BTreeMap<&EndpointId, EndpointLoad> {
+    let values = RequestValues::new(fleet.node_count());
     let mut loads: BTreeMap<&EndpointId, EndpointLoad> = BTreeMap::new();
     for work in fleet.work_items(now) {
-        loads.entry(&work.endpoint).or_default().add(work);
+        loads.entry(&work.endpoint).or_default().add(work, values);
     }
     loads
 }
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -18,9 +18,11 @@
 use super::prompt_split::HelperOrder;
 use super::prompt_split::MAX_ENDPOINTS;
 use super::prompt_split::PlacementCandidate;
+use super::prompt_split::PlanRules;
 use super::prompt_split::ScoredPlan;
 use super::prompt_split::best_plan;
 use super::rate_turn::wait_for_rate;
+use super::request_value::RequestValues;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::PriorityRank;
@@ -189,7 +191,7 @@
         candidate_for(fleet, state, load, jitter_scale, now)
     });
     let plan = match engine {
-        Some(engine) => best_plan(engine, candidates.collect(), helper_order(fleet), query, now),
+        Some(engine) => best_plan(engine, candidates.collect(), plan_rules(fleet), query, now),
         None => best_plain_plan(candidates.collect()),
     };
     decide(plan, engine, query, endpoint_count, position.rank, now)
@@ -259,12 +261,13 @@
     (JITTER_PER_NODE * node_count.saturating_sub(NODES_WITHOUT_JITTER) as f64).min(MAX_JITTER)
 }
 
-/// Returns the order of helpers, by how late the work of other nodes becomes known.
-fn helper_order(fleet: &FleetState) -> HelperOrder {
-    match fleet.node_count() {
+/// Returns the rules of plans, by how late the work of other nodes becomes known.
+fn plan_rules(fleet: &FleetState) -> PlanRules {
+    let order = match fleet.node_count() {
         ..=MAX_DIRECT_NODES => HelperOrder::CostFirst,
         _ => HelperOrder::CostAndTime,
-    }
+    };
+    PlanRules { order, values: RequestValues::new(fleet.node_count()) }
 }
 
 /// Returns the cost of what this node may not know yet of an endpoint's work.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -11,7 +11,7 @@
 use super::placement::FAILURE_COST;
 use super::placement::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
-use super::request_value::request_value;
+use super::request_value::RequestValues;
 use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
@@ -37,11 +37,6 @@
 /// Value that an engine without short streams has for future long prompts.
 const PACKING_COST: f64 = 0.3;
 
-/// Length from which a prompt prefers engines without streams, in tokens.
-///
-/// Shorter ones are packed beside others.
-const UNPACKED_PROMPT_TOKENS: TokenCount = 120_000;
-
 /// Fraction of an engine's slots that short streams fill before another engine is preferred.
 const PACKED_FRACTION: f64 = 0.75;
 
@@ -63,6 +58,15 @@
     CostAndTime,
 }
 
+/// Rules of plans that follow from the size of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PlanRules {
+    /// Order in which endpoints are taken as helpers.
+    pub(super) order: HelperOrder,
+    /// Values of requests.
+    pub(super) values: RequestValues,
+}
+
 /// An endpoint that may run a request or be its helper.
 #[derive(Clone, Debug)]
 pub(super) struct PlacementCandidate {
@@ -113,7 +117,7 @@
 pub(super) fn best_plan(
     engine: &EngineModel,
     candidates: Vec<PlacementCandidate>,
-    order: HelperOrder,
+    rules: PlanRules,
     query: &PlacementQuery,
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
@@ -133,8 +137,11 @@
         if is_too_short || is_too_long {
             return None;
         }
-        let plan = plan_with_count(engine, &candidates, order, query, (count, part_time), now)?;
-        Some(ScoredPlan { time_price, ..plan })
+        let plan = plan_with_count(engine, &candidates, rules, query, (count, part_time), now)?;
+        // A late prompt takes only engines without a prefill, which others miss less.
+        let is_full_price = plan.is_timely || rules.order == HelperOrder::CostFirst;
+        let share = if is_full_price { 1.0 } else { LATE_VALUE_FRACTION };
+        Some(ScoredPlan { time_price: time_price * share, ..plan })
     });
     let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
     plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
@@ -146,7 +153,7 @@
 fn plan_with_count(
     engine: &EngineModel,
     candidates: &[PlacementCandidate],
-    order: HelperOrder,
+    rules: PlanRules,
     query: &PlacementQuery,
     (count, part_time): (usize, Duration),
     now: MonotonicTime,
@@ -154,10 +161,10 @@
     let mut scored_candidates: Vec<ScoredCandidate<'_>> =
         candidates.iter().map(|candidate| score_candidate(engine, candidate, part_time)).collect();
     scored_candidates.sort_by(|left, right| {
-        let (left, right) = (left.sort_key(order), right.sort_key(order));
+        let (left, right) = (left.sort_key(rules.order), right.sort_key(rules.order));
         left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
     });
-    let runner = choose_runner(engine, &scored_candidates, query, count)?;
+    let runner = choose_runner(engine, &scored_candidates, rules.values, query, count)?;
     let runner = scored_candidates.remove(runner);
     let helpers: Vec<&ScoredCandidate<'_>> = scored_candidates
         .iter()
@@ -177,7 +184,7 @@
     let cost: f64 = runner.cost + helpers.iter().map(|helper| helper.cost).sum::<f64>();
     let is_timely = now.saturating_sub(query.arrived) + first_event
         <= query.target_latency.mul_f64(TIMELY_FRACTION);
-    let value = request_value(query.size.prompt, query.rank);
+    let value = rules.values.of(query.size.prompt, query.rank);
     let gain = if is_timely { value } else { value * LATE_VALUE_FRACTION };
     let horizon = match is_timely {
         true => query.target_latency,
@@ -187,7 +194,7 @@
     let net_value = gain * (1.0 - LATENCY_COST * time_fraction.min(1.0))
         - cost
         - ENDPOINT_COST * count as f64
-        - packing_cost(engine, &runner.candidate.load, query);
+        - packing_cost(engine, &runner.candidate.load, rules.values, query);
     Some(ScoredPlan {
         net_value,
         time_price: 0.0,
@@ -242,6 +249,7 @@
 fn choose_runner(
     engine: &EngineModel,
     scored_candidates: &[ScoredCandidate<'_>],
+    values: RequestValues,
     query: &PlacementQuery,
     count: usize,
 ) -> Option<usize> {
@@ -257,9 +265,9 @@
             (scored.runner_ready + interval).as_secs_f64() / query.target_latency.as_secs_f64();
         let missing = query.size.memory().saturating_sub(scored.candidate.free_memory);
         scored.cost
-            + request_value(query.size.prompt, query.rank) * LATENCY_COST * time_fraction
-            + packing_cost(engine, load, query)
-            + request_value(missing, query.rank)
+            + values.of(query.size.prompt, query.rank) * LATENCY_COST * time_fraction
+            + packing_cost(engine, load, values, query)
+            + values.of(missing, query.rank)
             + scored.candidate.choice_cost
     };
     let with_room = scored_candidates.iter().enumerate().filter(|(_, scored)| has_room(scored));
@@ -269,18 +277,18 @@
 
 /// Returns the packing cost of running a request on an engine with this load.
 ///
-/// For a prompt below [`UNPACKED_PROMPT_TOKENS`], it is zero on an engine with [`PACKED_FRACTION`] of
-/// its slots in use and rises as more or fewer are. From there on, it is negative on an engine with
-/// fewer in use.
-fn packing_cost(engine: &EngineModel, load: &EndpointLoad, query: &PlacementQuery) -> f64 {
+/// For a prompt that is packed, it is zero on an engine with [`PACKED_FRACTION`] of its slots in use
+/// and rises as more or fewer are. For a longer one, it is negative on an engine with fewer in use.
+fn packing_cost(
+    engine: &EngineModel,
+    load: &EndpointLoad,
+    values: RequestValues,
+    query: &PlacementQuery,
+) -> f64 {
     let packed_slots = f64::from(engine.slots) * PACKED_FRACTION;
     let free_fraction = 1.0 - f64::from(load.running) / packed_slots;
     PACKING_COST
-        * if query.size.prompt < UNPACKED_PROMPT_TOKENS {
-            free_fraction.abs()
-        } else {
-            -free_fraction
-        }
+        * if values.is_packed(query.size.prompt) { free_fraction.abs() } else { -free_fraction }
 }
 
 /// Returns the time between two events of a new stream that is decoded along with those of `load`.
--- a/crates/apricotknot-core/src/fleet/request_value.rs
+++ b/crates/apricotknot-core/src/fleet/request_value.rs
@@ -1,13 +1,24 @@
 //! Value of requests to their callers, in the unit of one very short request of the usual rank.
 
+use super::MAX_DIRECT_NODES;
 use super::WorkItem;
 use crate::types::PriorityRank;
 use crate::types::TokenCount;
 
-/// Prompt tokens that add as much value as the request itself.
+/// Prompt tokens that add as much value as the request itself, in a fleet of at most
+/// [`MAX_DIRECT_NODES`].
 ///
 /// A caller with a longer prompt waits for more work, which is lost if the answer is late.
-const TOKENS_PER_VALUE: f64 = 60_000.0;
+const DIRECT_TOKENS_PER_VALUE: f64 = 12_000.0;
+
+/// Prompt tokens that add as much value as the request itself, in a larger fleet.
+///
+/// There, short requests that other nodes place become known late, so a plan shows only a part of
+/// what a long prompt costs them.
+const LARGE_FLEET_TOKENS_PER_VALUE: f64 = 60_000.0;
+
+/// Value below which a prompt is packed beside others.
+const PACKED_VALUE: f64 = 3.0;
 
 /// Factor of the value from each priority rank to the next.
 ///
@@ -21,13 +32,39 @@
 /// Fraction of a request's value that remains when its answer is late.
 pub(super) const LATE_VALUE_FRACTION: f64 = 0.25;
 
-/// Returns the value of answering a request with `prompt` tokens on time.
-pub(super) fn request_value(prompt: TokenCount, rank: PriorityRank) -> f64 {
-    let size_value = 1.0 + prompt as f64 / TOKENS_PER_VALUE;
-    size_value * RANK_FACTOR.powi(i32::from(rank.clamp(-MAX_RANK, MAX_RANK)))
+/// Values of requests in a fleet of one size.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RequestValues {
+    tokens_per_value: f64,
 }
 
-/// Returns the value of answering the request of `work` on time.
-pub(super) fn work_value(work: &WorkItem) -> f64 {
-    request_value(work.prompt, work.rank)
+impl RequestValues {
+    /// Creates the values in a fleet of `node_count` nodes.
+    pub(super) fn new(node_count: usize) -> Self {
+        let tokens_per_value = match node_count {
+            ..=MAX_DIRECT_NODES => DIRECT_TOKENS_PER_VALUE,
+            _ => LARGE_FLEET_TOKENS_PER_VALUE,
+        };
+        Self { tokens_per_value }
+    }
+
+    /// Returns the value of answering a request with `prompt` tokens on time.
+    pub(super) fn of(self, prompt: TokenCount, rank: PriorityRank) -> f64 {
+        self.of_size(prompt) * RANK_FACTOR.powi(i32::from(rank.clamp(-MAX_RANK, MAX_RANK)))
+    }
+
+    /// Returns the value of answering the request of `work` on time.
+    pub(super) fn of_work(self, work: &WorkItem) -> f64 {
+        self.of(work.prompt, work.rank)
+    }
+
+    /// Returns whether a prompt is packed on engines beside others; a longer one prefers engines
+    /// without streams.
+    pub(super) fn is_packed(self, prompt: TokenCount) -> bool {
+        self.of_size(prompt) < PACKED_VALUE
+    }
+
+    fn of_size(self, prompt: TokenCount) -> f64 {
+        1.0 + prompt as f64 / self.tokens_per_value
+    }
 }
