--- a/crates/apricotknot-core/src/fleet/request_value.rs
+++ b/crates/apricotknot-core/src/fleet/request_value.rs
@@ -20,7 +20,8 @@
 /// Value below which a prompt is packed beside others.
 const PACKED_VALUE: f64 = 3.0;
 
-/// Factor of the value from each priority rank to the next.
+/// Factor of the value from each priority rank to the next, in a fleet of more than
+/// [`MAX_DIRECT_NODES`].
 ///
 /// A rank decides among requests that are nearly alike; it does not let a short prompt of one account
 /// push out a long one of another.
@@ -36,21 +37,22 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestValues {
     tokens_per_value: f64,
+    rank_factor: f64,
 }
 
 impl RequestValues {
     /// Creates the values in a fleet of `node_count` nodes.
     pub(super) fn new(node_count: usize) -> Self {
-        let tokens_per_value = match node_count {
-            ..=MAX_DIRECT_NODES => DIRECT_TOKENS_PER_VALUE,
-            _ => LARGE_FLEET_TOKENS_PER_VALUE,
+        let (tokens_per_value, rank_factor) = match node_count {
+            ..=MAX_DIRECT_NODES => (DIRECT_TOKENS_PER_VALUE, 1.0),
+            _ => (LARGE_FLEET_TOKENS_PER_VALUE, RANK_FACTOR),
         };
-        Self { tokens_per_value }
+        Self { tokens_per_value, rank_factor }
     }
 
     /// Returns the value of answering a request with `prompt` tokens on time.
     pub(super) fn of(self, prompt: TokenCount, rank: PriorityRank) -> f64 {
-        self.of_size(prompt) * RANK_FACTOR.powi(i32::from(rank.clamp(-MAX_RANK, MAX_RANK)))
+        self.of_size(prompt) * self.rank_factor.powi(i32::from(rank.clamp(-MAX_RANK, MAX_RANK)))
     }
 
     /// Returns the value of answering the request of `work` on time.
--- a/crates/apricotknot-core/tests/competing_callers.rs
+++ b/crates/apricotknot-core/tests/competing_callers.rs
@@ -12,6 +12,7 @@
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::place;
+use apricotknot_core::types::NodeId;
 
 use fleet_simulation::ARCHIVE;
 use fleet_simulation::FleetSimulation;
@@ -58,9 +59,11 @@
     assert!(archives.served_rate() >= MIN_SERVED_RATE, "{tickets:?}, {archives:?}");
 }
 
-/// Returns a fleet of four engines, on each of which short requests fill `streams` slots.
+/// Returns a fleet of 58 nodes and four engines, on each of which short requests fill `streams` slots.
 fn busy_fleet(streams: u128) -> FleetState {
     let mut fleet_state = fleet_state(4);
+    let nodes: Vec<NodeId> = (1..58).map(|node| format!("node-{node}").into()).collect();
+    fleet_state.set_nodes(&nodes);
     for engine in 0..4 {
         let plan = PlacementPlan {
             endpoint: format!("engine-{engine}").into(),
