reading as a newcomer: one term type, the holder's phases and the reporter's log lines in files of their own

Change: DutyTerm of core only; holder_phase.rs, duty_term.rs, usage_reporter/log_lines.rs; neutral names in tests; a reason for one allow; wording. No decision changes.

--- a/crates/apricotknot-core/src/duty/duty_holder.rs
+++ b/crates/apricotknot-core/src/duty/duty_holder.rs
@@ -10,8 +10,14 @@
 use super::DutyNotice;
 use super::DutyOutcome;
 use super::DutyRecord;
+use super::DutyTerm;
 use super::TermEnd;
 use super::duty_record::fencing_number;
+use super::holder_phase::GrantedLease;
+use super::holder_phase::HolderPhase;
+use super::holder_phase::PlatformOutage;
+use super::holder_phase::SentCall;
+use super::holder_phase::Tenure;
 use super::term_vacancy::EraContact;
 use super::term_vacancy::TermVacancy;
 use crate::fleet::NodePosition;
@@ -27,65 +33,6 @@
 /// Number of consecutive failed calls of the platform after which a holder may hand over.
 const FAILURES_TO_HANDOVER: u32 = 3;
 
-/// Term in which this node may act.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct HeldTerm {
-    /// Orders the terms of all nodes.
-    pub fence: FencingNumber,
-    /// Time from which the node may act.
-    pub since: MonotonicTime,
-    /// Time from which it may no longer act, unless the lease is renewed.
-    pub until: MonotonicTime,
-}
-
-/// Lease that was granted at a call sent at one time.
-#[derive(Clone, Copy, Debug)]
-struct GrantedLease {
-    lease: DutyLease,
-    /// Time at which the call was sent that last extended the lease.
-    sent_at: MonotonicTime,
-}
-
-/// The duty as this node holds it.
-#[derive(Clone, Copy, Debug)]
-struct Tenure {
-    granted: GrantedLease,
-    fence: FencingNumber,
-    revision: RevisionNumber,
-    acts_from: MonotonicTime,
-    next_renewal: MonotonicTime,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum HolderPhase {
-    /// Another node holds the duty, or this one waits for its turn.
-    Waiting,
-    /// A lease is to be granted.
-    Granting,
-    /// The record is to be written.
-    Taking(GrantedLease),
-    /// The record may have been written.
-    Unsure(GrantedLease),
-    /// The record is this node's.
-    Holding(Tenure),
-    /// The record is to be marked as released.
-    Releasing(Tenure),
-}
-
-/// A call of the key-value service whose outcome is not known yet.
-#[derive(Clone, Copy, Debug)]
-struct SentCall {
-    sent_at: MonotonicTime,
-    is_release: bool,
-}
-
-/// Failed calls of the platform in a row.
-#[derive(Clone, Copy, Debug)]
-struct PlatformOutage {
-    since: MonotonicTime,
-    failures: u32,
-}
-
 /// Decides when one node holds a duty, from what it knows of the key-value service.
 ///
 /// It asks for one call at a time with [`next_action`](Self::next_action), and is told its outcome with
@@ -276,12 +223,12 @@
 
 impl DutyHolder {
     /// Returns the term of this node; it may act only within it.
-    pub fn term(&self) -> Option<HeldTerm> {
+    pub fn term(&self) -> Option<DutyTerm> {
         let HolderPhase::Holding(tenure) = self.phase else {
             return None;
         };
         let until = self.term_end(tenure);
-        Some(HeldTerm { fence: tenure.fence, since: tenure.acts_from, until })
+        Some(DutyTerm { fence: tenure.fence, since: tenure.acts_from, until })
     }
 
     /// Returns the record of the holder that is known, with its fencing number.
--- a/crates/apricotknot-core/tests/scaling_load.rs
+++ b/crates/apricotknot-core/tests/scaling_load.rs
@@ -1,7 +1,7 @@
 //! Checks how many endpoints the work of a fleet counts as.
 
 #[path = "support/fleet_simulation.rs"]
-#[allow(dead_code)]
+#[allow(dead_code, reason = "this test only needs the model of an engine")]
 mod fleet_simulation;
 
 use std::time::Duration;
--- a/crates/apricotknot-gateway/src/duties/duty_desk.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_desk.rs
@@ -22,7 +22,6 @@
 use super::DutyMetrics;
 use super::DutyPermit;
 use super::DutyStatus;
-use super::DutyTerm;
 use super::duty_store::DutyStore;
 use crate::clock::BootClock;
 use crate::clock::millis;
@@ -141,11 +140,7 @@
     fn change(&self, change: impl FnOnce(&mut DutyHolder)) {
         let mut holder = self.holder.borrow_mut();
         change(&mut holder);
-        let term = holder.term().map(|term| DutyTerm {
-            fence: term.fence,
-            since: term.since,
-            until: term.until,
-        });
+        let term = holder.term();
         self.permit.set_term(term);
         self.metrics.set_held(self.kind, term.is_some());
         for notice in holder.take_notices() {
--- a/crates/apricotknot-gateway/src/duties/duty_permit.rs
+++ b/crates/apricotknot-gateway/src/duties/duty_permit.rs
@@ -3,23 +3,13 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use apricotknot_core::duty::DutyTerm;
 use apricotknot_core::types::FencingNumber;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::NodeId;
 
 use super::DutyCall;
 
-/// Term in which this node holds a duty.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct DutyTerm {
-    /// Orders the terms of all nodes; larger than that of each earlier term.
-    pub fence: FencingNumber,
-    /// Time from which the node may act.
-    pub since: MonotonicTime,
-    /// Time from which the node may no longer act, unless the term is extended.
-    pub until: MonotonicTime,
-}
-
 /// Shows the tasks of one duty whether this node holds it; all clones show the same term.
 ///
 /// A task asks for the [`DutyCall`] right before each call of the platform.
--- a/crates/apricotknot-gateway/src/duties/mod.rs
+++ b/crates/apricotknot-gateway/src/duties/mod.rs
@@ -28,7 +28,6 @@
 pub use duty_metrics::DutyLabels;
 pub use duty_metrics::DutyMetrics;
 pub use duty_permit::DutyPermit;
-pub use duty_permit::DutyTerm;
 pub use duty_roster::DutyParts;
 pub(crate) use duty_roster::DutyRoster;
 pub(crate) use duty_roster::RosterContext;
--- a/crates/apricotknot-gateway/src/duties/usage_reporter.rs
+++ b/crates/apricotknot-gateway/src/duties/usage_reporter.rs
@@ -4,6 +4,8 @@
 //! stays, and only what it holds is ever sent. So a successor sends the same report again, and a
 //! report whose answer is lost can be repeated.
 
+mod log_lines;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -25,12 +27,10 @@
 use super::DutyPermit;
 use super::UsageHandle;
 use super::UsageRecord;
-use crate::clock::millis;
 use crate::control::USAGE_PREFIX;
 use crate::control::usage_key;
 use crate::store::MetadataStore;
 use crate::store::StoreEntry;
-use crate::store::StoreError;
 use crate::store::StoreLease;
 use crate::store::SwapOutcome;
 use crate::store::SwapRequest;
@@ -270,56 +270,6 @@
     }
 }
 
-// Log lines.
-impl<S: MetadataStore, A: DutyApi, C: Fn() -> MonotonicTime> UsageReporter<S, A, C> {
-    fn log_store_error(&self, error: &StoreError) -> StepFailed {
-        warn!(
-            self.tools.logger, "usage: key-value service failed; reading the records again";
-            "error" => %error
-        );
-        StepFailed
-    }
-
-    fn log_closed(&self, closed: &ClosedWindow) {
-        info!(
-            self.tools.logger, "usage: window closed"; "window" => closed.report.window,
-            "reason" => closed.reason.name(), "requests" => closed.report.request_count(),
-            "accounts" => closed.report.counts.len(), "nodes_heard" => closed.heard,
-            "nodes_expected" => closed.expected, "age_ms" => millis(closed.age)
-        );
-    }
-
-    fn log_skipped(&self, window: WindowNumber) {
-        let first = self.tools.accounting.borrow().first_undecided();
-        if (1..window).contains(&first) {
-            warn!(
-                self.tools.logger, "usage: windows get no report"; "first" => first,
-                "last" => window - 1
-            );
-        }
-    }
-
-    fn log_overdue(&self, work: &mut TermWork, useful: &[UsageReport]) {
-        let first = useful.first().map_or(WindowNumber::MAX, |report| report.window);
-        while let Some(window) = work.pending.first().copied().filter(|window| *window < first) {
-            work.pending.remove(&window);
-            warn!(
-                self.tools.logger, "usage: report is overdue; sending it no more";
-                "window" => window
-            );
-        }
-    }
-
-    fn log_reported(&self, report: &UsageReport, fence: FencingNumber) {
-        let age = self.tools.accounting.borrow().window_age(report.window, (self.tools.clock)());
-        info!(
-            self.tools.logger, "usage: window reported"; "window" => report.window,
-            "requests" => report.request_count(), "accounts" => report.counts.len(),
-            "fence" => fence, "age_ms" => millis(age)
-        );
-    }
-}
-
 /// Returns whether the API would answer a repeated call alike.
 fn is_final(error: &DutyApiError) -> bool {
     match error {
--- a/crates/apricotknot-gateway/tests/duties.rs
+++ b/crates/apricotknot-gateway/tests/duties.rs
@@ -6,9 +6,9 @@
 
 use apricotknot_core::duty::DutyKind;
 use apricotknot_core::duty::DutyRecord;
+use apricotknot_core::duty::DutyTerm;
 use apricotknot_gateway::duties::DutyChange;
 use apricotknot_gateway::duties::DutyPermit;
-use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::store::StoreEntry;
 
 /// Record as the first build with duties writes it.
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -242,7 +242,7 @@
         counts: (0..8).map(|index| (account(index), 100)).collect(),
     });
     let counts = CountSnapshot {
-        node: "front-hkd-sap-1".into(),
+        node: "node-of-centre1".into(),
         incarnation: 1_767_225_600_000,
         windows: windows.to_vec(),
         ..counts()
--- a/crates/apricotknot-gateway/tests/scaling_controller.rs
+++ b/crates/apricotknot-gateway/tests/scaling_controller.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use apricotknot_core::duty::DutyKind;
+use apricotknot_core::duty::DutyTerm;
 use apricotknot_core::scaling::EndpointSample;
 use apricotknot_core::scaling::EndpointStatus;
 use apricotknot_core::scaling::LoadSample;
@@ -23,7 +24,6 @@
 use apricotknot_gateway::duties::DutyCall;
 use apricotknot_gateway::duties::DutyPermit;
 use apricotknot_gateway::duties::DutySettings;
-use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::duties::DutyTools;
 use apricotknot_gateway::duties::PermittedApi;
 use apricotknot_gateway::duties::ScalingController;
--- a/crates/apricotknot-gateway/tests/support/usage_fleet.rs
+++ b/crates/apricotknot-gateway/tests/support/usage_fleet.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use apricotknot_core::duty::DutyTerm;
 use apricotknot_core::scaling::ScalingOrder;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::EraNumber;
@@ -24,7 +25,6 @@
 use apricotknot_gateway::duties::DutyApiError;
 use apricotknot_gateway::duties::DutyCall;
 use apricotknot_gateway::duties::DutyPermit;
-use apricotknot_gateway::duties::DutyTerm;
 use apricotknot_gateway::duties::UsageHandle;
 use apricotknot_gateway::duties::UsageRecord;
 use apricotknot_gateway::duties::UsageReporter;
