--- a/crates/apricotknot-core/src/usage/count_table.rs
+++ b/crates/apricotknot-core/src/usage/count_table.rs
@@ -28,7 +28,8 @@
     /// Merges a snapshot that arrives in the window `current`.
     ///
     /// Returns how many requests it adds to windows before `first_unreported`: they are in no
-    /// report. Windows that are far from the current one are ignored.
+    /// report. The first snapshot of a node adds none, as the report may hold its counts. Windows that
+    /// are far from the current one are ignored.
     pub fn merge(
         &mut self,
         snapshot: &CountSnapshot,
@@ -37,6 +38,7 @@
     ) -> u64 {
         let oldest = current.saturating_sub(RETAINED_WINDOWS);
         let key = (NodeId::clone(&snapshot.node), snapshot.incarnation);
+        let is_known = self.nodes.contains_key(&key);
         let node = self.nodes.entry(key).or_default();
         node.first_open = node.first_open.max(snapshot.first_open.min(current.saturating_add(1)));
         let mut late = 0;
@@ -47,7 +49,7 @@
             let counts = node.windows.entry(window.window).or_default();
             for (account, count) in &window.counts {
                 let known = counts.entry(AccountId::clone(account)).or_default();
-                if window.window < first_unreported {
+                if is_known && window.window < first_unreported {
                     late += count.saturating_sub(*known);
                 }
                 *known = (*known).max(*count);
--- a/crates/apricotknot-core/tests/usage_accounting.rs
+++ b/crates/apricotknot-core/tests/usage_accounting.rs
@@ -120,6 +120,19 @@
 }
 
 // Guards against a node with a wrong clock or a broken one that fills the memory of others.
+#[test]
+fn counts_that_a_new_recipient_gets_of_reported_windows_are_not_late() {
+    let mut former = holder(2);
+    let mut peer = accounting(1, 1, 2);
+    let counts = counted(&mut peer, &[(1, ms(100))], ms(200));
+    former.merge(&counts, ms(200));
+    let report = former.closed_window(ms(9_000)).expect("a closed window").report;
+    let mut recipient = holder(2);
+    recipient.record_report(report, 1).expect("the only report");
+    recipient.merge(&counts, ms(9_100));
+    assert_eq!(recipient.late_count(), 0);
+}
+
 #[test]
 fn counts_of_far_windows_are_ignored() {
     let mut node = holder(1);
--- a/crates/apricotknot-gateway/src/duties/scaling_controller.rs
+++ b/crates/apricotknot-gateway/src/duties/scaling_controller.rs
@@ -40,7 +40,9 @@
     scalers: BTreeMap<ServiceId, ServiceScaler>,
     /// Term in which the open orders were sent.
     fence: Option<FencingNumber>,
+    /// Ends of the channel over which calls tell how they ended.
     outcomes: mpsc::UnboundedSender<OrderOutcome>,
+    ended_calls: mpsc::UnboundedReceiver<OrderOutcome>,
 }
 
 impl<S, A: DutyApi> ScalingController<S, A> {
@@ -50,15 +52,13 @@
         inputs: watch::Receiver<Rc<ScalingInputs>>,
         metrics: ScalingMetrics,
     ) -> Self {
-        // The receiver is created in `run`.
-        let (outcomes, _) = mpsc::unbounded_channel();
-        Self { tools, inputs, metrics, scalers: BTreeMap::new(), fence: None, outcomes }
+        let (outcomes, ended_calls) = mpsc::unbounded_channel();
+        let scalers = BTreeMap::new();
+        Self { tools, inputs, metrics, scalers, fence: None, outcomes, ended_calls }
     }
 
     /// Orders endpoints until the control thread ends.
     pub async fn run(mut self) {
-        let (sender, mut outcomes) = mpsc::unbounded_channel();
-        self.outcomes = sender;
         loop {
             tokio::select! {
                 changed = self.inputs.changed() => {
@@ -68,7 +68,7 @@
                     let inputs = Rc::clone(&self.inputs.borrow_and_update());
                     self.follow(&inputs);
                 },
-                Some(outcome) = outcomes.recv() => self.record_outcome(outcome),
+                Some(outcome) = self.ended_calls.recv() => self.record_outcome(outcome),
             }
         }
     }
--- a/crates/apricotknot-gateway/src/intake/connection_shares.rs
+++ b/crates/apricotknot-gateway/src/intake/connection_shares.rs
@@ -9,6 +9,18 @@
 /// Part of all descriptors that is left unused.
 const SPARE_DIVISOR: usize = 20;
 
+/// Descriptors for connections to the key-value service and to the API for duties.
+const STORE_DESCRIPTORS: usize = 16;
+
+/// Part of the sockets that connections of the operations interface may take.
+const OPERATIONS_DIVISOR: usize = 8;
+
+/// Part of the sockets that connections of peers may take.
+const PEERS_DIVISOR: usize = 8;
+
+/// Sockets of a call or of a relayed connection: its own, and that to an endpoint.
+const SOCKETS_PER_CALL: usize = 2;
+
 /// Most connections of the operations interface.
 const MAX_OPERATIONS: usize = 64;
 
@@ -18,8 +30,10 @@
 /// Memory of a connection beside the bodies of its requests, in bytes: buffers, head and task.
 const CONNECTION_BYTES: usize = 48 * 1_024;
 
-/// Largest number of connections on each interface of a node; the rest of the descriptors is for
-/// connections to endpoints and to the key-value service.
+/// Largest number of connections on each interface of a node.
+///
+/// The rest of the descriptors is for as many connections to endpoints as callers and peers need, and
+/// for the key-value service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ConnectionShares {
     /// Connections of callers.
@@ -36,11 +50,11 @@
         let reserve = FILE_DESCRIPTORS + descriptors / SPARE_DIVISOR;
         let sockets = descriptors.saturating_sub(reserve);
         let in_memory = memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-        Self {
-            callers: (sockets / 2).min(in_memory).max(1),
-            operations: (sockets / 8).clamp(1, MAX_OPERATIONS),
-            peers: (sockets / 8).max(1),
-        }
+        let operations = (sockets / OPERATIONS_DIVISOR).clamp(1, MAX_OPERATIONS);
+        let peers = (sockets / PEERS_DIVISOR).max(1);
+        let taken = operations + peers * SOCKETS_PER_CALL + STORE_DESCRIPTORS;
+        let callers = sockets.saturating_sub(taken) / SOCKETS_PER_CALL;
+        Self { callers: callers.min(in_memory).max(1), operations, peers }
     }
 }
 
--- a/crates/apricotknot-gateway/src/intake/intake_control.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_control.rs
@@ -36,13 +36,21 @@
     pub(super) waker: AtomicWaker,
 }
 
+/// What has happened since the last line of the log.
+#[derive(Debug, Default)]
+struct UnreportedCounts {
+    /// Connections that gave way.
+    gave_way: u64,
+    /// Requests that were refused.
+    refused: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct IntakeState {
     pub(super) table: IntakeTable,
     signals: HashMap<IntakeId, Arc<GiveWaySignal>>,
     reported_at: Option<MonotonicTime>,
-    /// Connections that gave way, and requests refused, since the last line of the log.
-    unreported: [u64; 2],
+    unreported: UnreportedCounts,
 }
 
 /// Decides what the clients of one interface may occupy; shared by its connections.
@@ -68,7 +76,7 @@
             table: IntakeTable::new(limits),
             signals: HashMap::new(),
             reported_at: None,
-            unreported: [0, 0],
+            unreported: UnreportedCounts::default(),
         };
         let (state, closed, clock) = (Mutex::new(state), Notify::new(), BootClock);
         Arc::new(Self { interface, state, closed, clock, metrics, logger })
@@ -106,7 +114,7 @@
         let grown = state.table.grow(id, held, now);
         let victims = grown.inspect_err(|_| {
             self.metrics.refused.inc();
-            state.unreported[1] += 1;
+            state.unreported.refused += 1;
             self.report(&mut state, now);
         })?;
         self.dismiss(&mut state, &victims, now);
@@ -132,7 +140,7 @@
                 signal.waker.wake();
             }
             self.metrics.gave_way.inc();
-            state.unreported[0] += 1;
+            state.unreported.gave_way += 1;
         }
         if !victims.is_empty() {
             self.report(state, now);
@@ -144,7 +152,7 @@
         if state.reported_at.is_some_and(|reported| now < reported + REPORT_INTERVAL) {
             return;
         }
-        let [gave_way, refused] = std::mem::take(&mut state.unreported);
+        let UnreportedCounts { gave_way, refused } = std::mem::take(&mut state.unreported);
         state.reported_at = Some(now);
         warn!(
             self.logger, "intake: clients occupy too much; closing stalled ones";
