accounts: named only by a configuration that is recent enough, on public routes too

Cause: admission asked for the age of the configuration only where a route needs a key; the account was looked up in any. Ruled out: the node took its configuration for recent (it answered 503 on the other route in the same second). Change: core KeyPolicy::verify decides by key, route and age at once and alone makes a VerifiedAccount; a key that the configuration is too old to vouch for is refused, not run, with a time to come back (call: refused, outdated_key); without a key all is served as before. The configuration and its age are read as one view, the age first, so that a version published in between never seems newer.

--- a/crates/apricotknot-core/src/routing/mod.rs
+++ b/crates/apricotknot-core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod priority_table;
 mod route;
 mod route_table;
+mod verified_account;
 
 pub use desired_state::DesiredState;
 pub use desired_state::InputLimits;
@@ -17,3 +18,6 @@
 pub use route::RouteSpec;
 pub use route::WeightedTarget;
 pub use route_table::RouteTable;
+pub use verified_account::ConfigurationTrust;
+pub use verified_account::KeyFault;
+pub use verified_account::VerifiedAccount;
--- a/crates/apricotknot-core/tests/routing.rs
+++ b/crates/apricotknot-core/tests/routing.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use apricotknot_core::routing::CallKind;
+use apricotknot_core::routing::ConfigurationTrust;
+use apricotknot_core::routing::KeyFault;
+use apricotknot_core::routing::KeyPolicy;
 use apricotknot_core::routing::KeyTable;
 use apricotknot_core::routing::RouteSpec;
 use apricotknot_core::routing::RouteTable;
@@ -93,3 +96,34 @@
     assert_eq!(table.account("Secret"), None);
     assert!(!format!("{table:?}").contains("secret"));
 }
+
+/// Guards against an account that an outdated configuration names: a key is answered by a recent
+/// configuration or not at all, whether or not the route needs it, and no key is answered always
+/// where none is needed.
+#[test]
+fn accounts_are_named_by_recent_configurations_only() {
+    let keys = KeyPolicy::Required(KeyTable::new([("held".into(), "office".into())]));
+    let trusts = [(true, true), (true, false), (false, true), (false, false)];
+    for (may_admit, may_deny) in trusts {
+        let trust = ConfigurationTrust { may_admit, may_deny };
+        for is_public in [true, false] {
+            let verify = |key| {
+                let verified = keys.verify(key, is_public, trust);
+                verified.map(|account| account.map(|account| account.to_string()))
+            };
+            let absent = match (may_admit && may_deny, is_public) {
+                (false, _) => Err(KeyFault::Outdated),
+                (true, true) => Ok(None),
+                (true, false) => Err(KeyFault::Unknown),
+            };
+            let held = may_admit.then(|| Some("office".to_owned())).ok_or(KeyFault::Outdated);
+            assert_eq!(verify(Some("held")), held, "{is_public} {trust:?}");
+            assert_eq!(verify(Some("unknown")), absent, "{is_public} {trust:?}");
+            let without_key = if is_public { Ok(None) } else { absent };
+            assert_eq!(verify(None), without_key, "{is_public} {trust:?}");
+        }
+        let verified = KeyPolicy::NotRequired.verify(Some("unknown"), false, trust);
+        assert_eq!(verified.is_ok(), may_admit && may_deny, "{trust:?}");
+        assert_eq!(KeyPolicy::NotRequired.verify(None, false, trust), Ok(None));
+    }
+}
--- a/crates/apricotknot-gateway/src/control/mod.rs
+++ b/crates/apricotknot-gateway/src/control/mod.rs
@@ -43,6 +43,7 @@
 pub use restore_hold::HoldNotice;
 pub use runner::ControlParts;
 pub use runner::start_control;
+pub use shared::ConfigurationView;
 pub use shared::SharedState;
 pub use shared::StalenessLimits;
 pub use state::ControlState;
--- a/crates/apricotknot-gateway/src/control/shared.rs
+++ b/crates/apricotknot-gateway/src/control/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use apricotknot_core::routing::ConfigurationTrust;
 use apricotknot_core::routing::DesiredState;
 use apricotknot_core::types::MonotonicTime;
 use tokio::sync::watch;
@@ -26,6 +27,26 @@
     pub max_deny_age: Duration,
 }
 
+impl StalenessLimits {
+    fn trust_at(&self, age: Duration) -> ConfigurationTrust {
+        ConfigurationTrust {
+            may_admit: age <= self.max_admit_age,
+            may_deny: age <= self.max_deny_age,
+        }
+    }
+}
+
+/// The configuration in force, as one request sees it from its admission on.
+#[derive(Clone, Debug)]
+pub struct ConfigurationView {
+    /// Configuration in force.
+    pub desired: Arc<DesiredState>,
+    /// Time since it was last known to be the newest one.
+    pub age: Duration,
+    /// What the age allows to conclude from it.
+    pub trust: ConfigurationTrust,
+}
+
 /// Holds the configuration in force, its age and the status of the node's shutdown.
 #[derive(Debug)]
 pub struct SharedState {
@@ -133,14 +154,13 @@
         now.saturating_sub(Duration::from_millis(self.confirmed_at_ms.load(Ordering::Acquire)))
     }
 
-    /// Returns whether the configuration is recent enough to admit a known key.
-    pub fn is_fresh(&self, now: MonotonicTime) -> bool {
-        self.desired.borrow().is_some() && self.configuration_age(now) <= self.limits.max_admit_age
-    }
-
-    /// Returns whether the configuration is recent enough to deny an unknown route or key.
-    pub fn may_deny(&self, now: MonotonicTime) -> bool {
-        self.desired.borrow().is_some() && self.configuration_age(now) <= self.limits.max_deny_age
+    /// Returns the configuration in force with what its age allows at `now`, or `None` before the
+    /// first one was read.
+    pub fn configuration_at(&self, now: MonotonicTime) -> Option<ConfigurationView> {
+        // The age first: a configuration that is published in between only seems older than it is.
+        let age = self.configuration_age(now);
+        let desired = self.desired()?;
+        Some(ConfigurationView { desired, age, trust: self.limits.trust_at(age) })
     }
 
     /// Returns whether the control thread wants to know of connections that are established.
@@ -171,6 +191,7 @@
 
     /// Returns whether the balancer should send new connections to this node.
     pub fn is_ready(&self, now: MonotonicTime) -> bool {
-        self.is_fresh(now) && !self.is_stopping()
+        let view = self.configuration_at(now);
+        view.is_some_and(|view| view.trust.may_admit) && !self.is_stopping()
     }
 }
--- a/crates/apricotknot-gateway/src/driver/admitted_call.rs
+++ b/crates/apricotknot-gateway/src/driver/admitted_call.rs
@@ -8,7 +8,7 @@
 use apricotknot_core::fleet::RequestFingerprint;
 use apricotknot_core::routing::CallKind;
 use apricotknot_core::routing::RouteSpec;
-use apricotknot_core::types::AccountId;
+use apricotknot_core::routing::VerifiedAccount;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::PriorityRank;
 use apricotknot_core::types::RegionId;
@@ -20,6 +20,7 @@
 use super::fingerprint::fingerprint_of;
 use crate::caller::IncomingRequest;
 use crate::caller::remove_hop_by_hop_headers;
+use crate::control::ConfigurationView;
 use crate::protocol::CallMetadata;
 use crate::protocol::CallProtocol;
 
@@ -35,7 +36,7 @@
     /// Rank of the call's priority.
     pub rank: PriorityRank,
     /// Account that the call is made for, if any.
-    pub account: Option<AccountId>,
+    pub account: Option<VerifiedAccount>,
     /// Regions whose endpoints may run the call, or `None` for all regions.
     pub regions: Option<Vec<RegionId>>,
     /// Head of the request, without its hop-by-hop headers.
@@ -70,36 +71,27 @@
             return Err(CallFault::Stopping);
         }
         let IncomingRequest { mut head, body } = request;
-        let desired = context.shared.desired().ok_or(CallFault::Unready)?;
-        let deny =
-            |fault| if context.shared.may_deny(arrived) { fault } else { CallFault::Unready };
-        let path = head.uri.path();
-        let Some(route) = desired.routes.find(&host_of(&head), path).cloned() else {
-            return Err(deny(CallFault::NoRoute));
+        let view = context.shared.configuration_at(arrived).ok_or(CallFault::Unready)?;
+        let ConfigurationView { desired, age, trust } = view;
+        let Some(route) = desired.routes.find(&host_of(&head), head.uri.path()).cloned() else {
+            return Err(if trust.may_deny { CallFault::NoRoute } else { CallFault::Unready });
         };
-        let account = metadata.api_key.as_ref().and_then(|key| desired.keys.account(key)).cloned();
-        let needs_key = !route.is_public && desired.keys.is_required();
-        if needs_key && !context.shared.is_fresh(arrived) {
-            return Err(CallFault::Unready);
-        }
-        if needs_key && account.is_none() {
-            return Err(deny(CallFault::UnknownKey));
-        }
+        let account = desired.keys.verify(metadata.api_key.as_deref(), route.is_public, trust)?;
         let service = route.pick_service(rand::random()).cloned().ok_or(CallFault::Refused {
             reason: "the route has no service",
             retry_after: Duration::from_secs(1),
         })?;
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
-        let fingerprint = fingerprint_of(target, account.as_deref().unwrap_or_default(), &body);
+        let fingerprint = fingerprint_of(target, name_of(account.as_ref()), &body);
         let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
         let time_to_end = context.shared.time_to_end(arrived);
         if route.kind == CallKind::NonIdempotent && time_to_end.is_some_and(|left| left < timeout) {
             // The node might end before the answer, and the caller must not ask again.
             return Err(CallFault::Stopping);
         }
-        let bound = account.as_ref().and_then(|account| desired.account_regions.get(account));
+        let bound = account.as_ref().and_then(|account| desired.account_regions.get(&**account));
         let regions = common_regions(&route.regions, bound);
-        let rank = desired.priorities.rank(&route, account.as_ref());
+        let rank = desired.priorities.rank(&route, account.as_deref());
         remove_hop_by_hop_headers(&mut head.headers);
         Ok(Self {
             rank,
@@ -113,10 +105,19 @@
             deadline: arrived + timeout,
             fingerprint,
             configuration_version: desired.version,
-            configuration_age: context.shared.configuration_age(arrived),
+            configuration_age: age,
             route,
         })
     }
+
+    /// Returns the name of the account that the call is made for; empty if there is none.
+    pub fn account_name(&self) -> &str {
+        name_of(self.account.as_ref())
+    }
+}
+
+fn name_of(account: Option<&VerifiedAccount>) -> &str {
+    account.map_or("", |account| account)
 }
 
 fn host_of(head: &RequestHead) -> String {
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -142,7 +142,7 @@
         let mut head = self.call.head.clone();
         let metadata = AttemptMetadata {
             endpoint: Arc::clone(endpoint),
-            account: self.call.account.clone(),
+            account: self.call.account.as_deref().cloned(),
             time_left: self.call.deadline.saturating_sub(self.now()),
             last_event_id: self.last_event_id,
             urgency: urgency_of(self.call.metadata.size.prompt),
--- a/crates/apricotknot-gateway/src/driver/call_fault.rs
+++ b/crates/apricotknot-gateway/src/driver/call_fault.rs
@@ -7,6 +7,7 @@
 use actix_http::header::CONTENT_TYPE;
 use actix_http::header::HeaderValue;
 use actix_http::header::RETRY_AFTER;
+use apricotknot_core::routing::KeyFault;
 use bytes::Bytes;
 use serde::Serialize;
 use thiserror::Error;
@@ -53,6 +54,9 @@
     /// The node has no recent configuration.
     #[error("this node does not know the newest configuration; another one may")]
     Unready,
+    /// The node's configuration is too old to say which client account holds the request's key.
+    #[error("not run: this node cannot tell now whose key this is; another node may")]
+    OutdatedKey,
     /// The node is stopping and accepts no more requests.
     #[error("not run: this node stops; send the request on a new connection")]
     Stopping,
@@ -82,6 +86,15 @@
     executed: &'static str,
 }
 
+impl From<KeyFault> for CallFault {
+    fn from(fault: KeyFault) -> Self {
+        match fault {
+            KeyFault::Unknown => Self::UnknownKey,
+            KeyFault::Outdated => Self::OutdatedKey,
+        }
+    }
+}
+
 impl CallFault {
     /// Returns the name used in metrics and logs.
     pub fn name(&self) -> &'static str {
@@ -95,6 +108,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::Unready => "unready",
+            Self::OutdatedKey => "outdated_key",
             Self::Stopping => "stopping",
             Self::Refused { .. } => "refused",
             Self::LateUnsent => "late_unsent",
@@ -114,6 +128,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoMemory
             | Self::Unready
+            | Self::OutdatedKey
             | Self::Stopping
             | Self::Refused { .. }
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
@@ -145,7 +160,7 @@
 
     fn retry_seconds(&self) -> Option<HeaderValue> {
         let after = match self {
-            Self::Unready | Self::LateUnsent => UNREADY_RETRY_AFTER,
+            Self::Unready | Self::OutdatedKey | Self::LateUnsent => UNREADY_RETRY_AFTER,
             Self::Stopping => STOPPING_RETRY_AFTER,
             Self::NoMemory => NO_MEMORY_RETRY_AFTER,
             Self::Refused { retry_after, .. } => *retry_after,
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -121,7 +121,7 @@
             "request" => %self.call.metadata.request_id, "outcome" => outcome,
             "cause" => call_outcome.cause(), "executed" => self.executed(call_outcome),
             "route" => %self.call.route.name,
-            "account" => self.call.account.as_deref().unwrap_or_default(),
+            "account" => self.call.account_name(),
             "prompt" => self.call.metadata.size.prompt, "endpoint" => self.endpoint_name(),
             "sends" => self.sends, "runs" => self.runs,
             "begun_ms" => self.answer_begun_after.map(millis),
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -21,6 +21,7 @@
 use gateway_fleet::expected_stream_body;
 use gateway_fleet::lookup_request;
 use gateway_fleet::order_request;
+use gateway_fleet::public_request;
 use gateway_fleet::read_answer;
 use gateway_fleet::read_raw_answer;
 use gateway_fleet::stream_request;
@@ -282,6 +283,37 @@
     assert_eq!(node.send(&lookup_request("known")).status, 200);
 }
 
+/// Guards against the account of a key that was taken away, on a public route: a node that the store
+/// turns away cannot know whose key it is, and serves only requests without one.
+#[test]
+fn a_node_without_the_store_names_no_account_on_a_public_route() {
+    let mut fleet = Fleet::start("vouch", 1);
+    let send = |fleet: &Fleet, id: &str, key: Option<&str>| {
+        let answer = fleet.nodes[0].send(&public_request(id, key));
+        let run = fleet.plain_runs().into_iter().find(|run| run.request_id == id);
+        (answer, run.map(|run| run.account))
+    };
+    let held = |fleet: &Fleet, id: &str| send(fleet, id, Some(gateway_fleet::KEY));
+    let office = Some("office".to_owned());
+    assert_eq!(held(&fleet, "held").1, Some(office.clone()));
+    assert_eq!(send(&fleet, "other", Some("another")).1, Some(None));
+    fleet.store.set_down(true);
+    fleet.configure(&["key-two"]);
+    wait_until("the node is not ready", || !fleet.nodes[0].is_ready());
+    for (id, key) in [("taken", gateway_fleet::KEY), ("added", "key-two"), ("strange", "another")] {
+        let (answer, run) = send(&fleet, id, Some(key));
+        assert_eq!((answer.status, run), (503, None), "{id}: {answer:?}");
+        assert!(answer.head.contains("retry-after: "), "{answer:?}");
+        assert!(answer.body.contains("\"executed\":\"no\""), "{answer:?}");
+    }
+    let (answer, run) = send(&fleet, "keyless", None);
+    assert_eq!((answer.status, run), (200, Some(None)), "{answer:?}");
+    fleet.store.set_down(false);
+    wait_until("the node is ready", || fleet.nodes[0].is_ready());
+    assert_eq!(send(&fleet, "added-back", Some("key-two")).1, Some(office));
+    assert_eq!(held(&fleet, "taken-back").1, Some(None));
+}
+
 #[test]
 fn a_node_rereads_the_store_after_compaction() {
     let mut fleet = Fleet::start("compact", 1);
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -385,6 +385,12 @@
     request(id, "GET", "/lookup/x?y=1", "", "")
 }
 
+/// Returns a request for a repeatable call on the public route, with `key` if there is one.
+pub(crate) fn public_request(id: &str, key: Option<&str>) -> String {
+    let header = key.map(|key| format!("x-api-key: {key}\r\n")).unwrap_or_default();
+    request(id, "GET", "/open/x", "", "").replace(&format!("x-api-key: {KEY}\r\n"), &header)
+}
+
 /// Returns the body of a complete stream.
 pub(crate) fn expected_stream_body() -> String {
     let events = 0..EndpointServer::event_count();
@@ -463,7 +469,7 @@
         json!({
             "name": name, "host": "shop.example", "prefix": prefix, "routeType": kind,
             "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 1, "service": service,
-            "attempts": attempts, "public": false, "resumable": kind == "streaming",
+            "attempts": attempts, "public": name == "open", "resumable": kind == "streaming",
             "gapAimMs": 1000,
         })
     };
@@ -473,6 +479,7 @@
             route("stream", "/model/", "streaming", "model", 2),
             route("order", "/order/", "non_idempotent", "desk", 1),
             route("lookup", "/lookup/", "idempotent", "desk", 2),
+            route("open", "/open/", "idempotent", "desk", 2),
         ],
         "services": [
             {
