exchange, relay: an answer without a length that is reset during the upload is not whole

Cause: the kernel reports a reset once. The exchange sends and reads in turn and dropped the sender's error; the reader then saw an orderly end. In the relay the half that sends did the same, and the other half wrote the frame that ends an answer. Ruled out: the reader takes a reset for an end (it sees an error when the upload fits into the kernel's buffers). No message between nodes changes. Result, seen failing on: exchange::answer_that_is_reset_during_the_upload_is_not_complete, relay::answer_that_is_reset_during_ the_request_does_not_end_as_complete, stale_refusals::answer_that_is_reset_during_the_request_is_lost (plain services of `run`).

--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -4,6 +4,7 @@
 //! be mistaken for the answer to another request.
 
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -80,6 +81,10 @@
     framing: BodyFraming,
     /// Bytes of the heads that were decoded.
     head_bytes: usize,
+    /// Error with which the connection took no more of the request.
+    ///
+    /// The kernel reports a reset once: after the sender was told, the receiver sees an orderly end.
+    send_error: Option<io::Error>,
 }
 
 impl EndpointExchange {
@@ -116,7 +121,7 @@
         let (output, body_left) = encode(&mut codec, head, body)?;
         let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
         let framing = BodyFraming::AwaitingHead(codec);
-        Ok(Self { connection, input, output, body_left, framing, head_bytes: 0 })
+        Ok(Self { connection, input, output, body_left, framing, head_bytes: 0, send_error: None })
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -150,14 +155,16 @@
             if let Some(head) = self.decode_head()? {
                 return Poll::Ready(Ok(head));
             }
-            let is_sent = self.poll_send(context);
+            // An endpoint may answer and close before it has read the whole request.
+            let _ = self.poll_send(context);
             match self.poll_receive(context)? {
                 Poll::Ready(true) => {},
                 Poll::Ready(false) => return Poll::Ready(Err(ExchangeError::Truncated)),
                 Poll::Pending => {
-                    // An endpoint may answer and close before it has read the whole request.
-                    let _ = is_sent?;
-                    return Poll::Pending;
+                    let error = self.send_error.take();
+                    return error.map_or(Poll::Pending, |error| {
+                        Poll::Ready(Err(ExchangeError::Broken(error)))
+                    });
                 },
             }
         }
@@ -215,32 +222,38 @@
                     }
                 },
             }
-            let _ = self.poll_send(context);
+            let sending = self.poll_send(context);
             if ready!(self.poll_receive(context))? {
                 continue;
             }
-            if matches!(self.framing, BodyFraming::UntilClose) {
-                self.framing = BodyFraming::Complete;
-                return Poll::Ready(Ok(None));
+            if !matches!(self.framing, BodyFraming::UntilClose) {
+                return Poll::Ready(Err(ExchangeError::Truncated));
             }
-            return Poll::Ready(Err(ExchangeError::Truncated));
+            // Only an end of the connection on which nothing has failed is the end of the answer.
+            ready!(sending);
+            if let Some(error) = self.send_error.take() {
+                return Poll::Ready(Err(ExchangeError::Broken(error)));
+            }
+            self.framing = BodyFraming::Complete;
+            return Poll::Ready(Ok(None));
         }
     }
 
-    fn poll_send(&mut self, context: &mut Context<'_>) -> Result<bool, ExchangeError> {
-        loop {
+    /// Sends more of the request; ready once all of it is sent, or [`Self::send_error`] is set.
+    fn poll_send(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while self.send_error.is_none() {
             let is_body = self.output.is_empty();
             let bytes: &[u8] = if is_body { &self.body_left } else { &self.output };
             if bytes.is_empty() {
-                return Ok(true);
+                break;
             }
-            match Pin::new(&mut self.connection).poll_write(context, bytes) {
-                Poll::Pending => return Ok(false),
-                Poll::Ready(Ok(count)) if is_body => self.body_left.advance(count),
-                Poll::Ready(Ok(count)) => self.output.advance(count),
-                Poll::Ready(Err(error)) => return Err(ExchangeError::Broken(error)),
+            match ready!(Pin::new(&mut self.connection).poll_write(context, bytes)) {
+                Ok(count) if is_body => self.body_left.advance(count),
+                Ok(count) => self.output.advance(count),
+                Err(error) => self.send_error = Some(error),
             }
         }
+        Poll::Ready(())
     }
 
     /// Reads more input; returns `false` if the connection has ended.
--- a/crates/apricotknot-gateway/src/relay/relay_session.rs
+++ b/crates/apricotknot-gateway/src/relay/relay_session.rs
@@ -1,5 +1,6 @@
 //! Relays one connection to an endpoint for another node.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -143,11 +144,12 @@
     let (mut from_node, to_node) = node.split();
     let (from_target, to_target) = target.split();
     let mut bytes = 0;
+    let is_broken = Cell::new(false);
     let end = tokio::select! {
-        () = send_request(&mut from_node, to_target) => RelayEnd::NodeClosed,
-        end = return_answer(from_target, to_node, &mut bytes) => end,
+        () = send_request(&mut from_node, to_target, &is_broken) => RelayEnd::NodeClosed,
+        end = return_answer(from_target, to_node, &is_broken, &mut bytes) => end,
     };
-    if end == RelayEnd::EndpointClosed {
+    if end != RelayEnd::NodeClosed {
         // Closing a connection with unread input resets it, and the node loses the answer.
         let _ = tokio::time::timeout(LINGER_TIMEOUT, discard(&mut from_node)).await;
     }
@@ -156,27 +158,41 @@
 
 /// Passes the bytes of the node on, until it closes its connection.
 ///
-/// An endpoint may answer without reading the rest of the request, which is discarded then.
-async fn send_request(from_node: &mut ReadHalf<'_>, mut to_target: WriteHalf<'_>) {
+/// An endpoint may answer without reading the rest of the request, which is discarded then. Sets
+/// `is_broken` if the connection to the endpoint fails: the kernel reports a reset once, and the
+/// other direction sees an orderly end.
+async fn send_request(
+    from_node: &mut ReadHalf<'_>,
+    mut to_target: WriteHalf<'_>,
+    is_broken: &Cell<bool>,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count @ 1..) = from_node.read(&mut buffer).await {
         if to_target.write_all(&buffer[..count]).await.is_err() {
+            is_broken.set(true);
             return discard(from_node).await;
         }
     }
 }
 
 /// Passes the bytes of the endpoint on in frames, until it closes its connection.
+///
+/// The end of a connection that `is_broken` is not passed on as the end of the answer.
 async fn return_answer(
     mut from_target: ReadHalf<'_>,
     mut to_node: WriteHalf<'_>,
+    is_broken: &Cell<bool>,
     bytes: &mut u64,
 ) -> RelayEnd {
     let mut frame = vec![0; FRAME_HEAD_BYTES + BUFFER_BYTES];
     loop {
         let count = match from_target.read(&mut frame[FRAME_HEAD_BYTES..]).await {
-            Ok(count) => count,
-            Err(_) => return RelayEnd::EndpointBroken,
+            Ok(count) if count > 0 || !is_broken.get() => count,
+            Ok(_) | Err(_) => {
+                // Without an empty frame before it, this is not the end of the answer.
+                let _ = to_node.shutdown().await;
+                return RelayEnd::EndpointBroken;
+            },
         };
         let length = u16::try_from(count).unwrap_or(u16::MAX);
         frame[..FRAME_HEAD_BYTES].copy_from_slice(&length.to_be_bytes());
--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -13,18 +13,30 @@
 use actix_http::RequestHead;
 use actix_http::ServiceConfig;
 use actix_http::Uri;
+use actix_rt::net::TcpStream;
+use apricotknot_gateway::endpoint::EndpointConnection;
 use apricotknot_gateway::endpoint::EndpointExchange;
 use apricotknot_gateway::endpoint::EndpointRequest;
 use apricotknot_gateway::endpoint::EventSplitter;
 use apricotknot_gateway::endpoint::ExchangeError;
 use bytes::Bytes;
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
+
+/// Size of the buffers of the tests' sockets.
+///
+/// The kernel may double it, and the receiver's and the sender's add up.
+const SOCKET_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// How the endpoint of a test ends its connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Ending {
     Closed,
     Reset,
+    /// The output is closed, and the connection reset some time later.
+    ClosedThenReset,
 }
 
 /// Starts an endpoint that reads `read` bytes of one request, sends `answer` and ends the
@@ -36,13 +48,17 @@
 ) -> (EndpointRequest, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("local listener");
     let address = listener.local_addr().expect("local address");
+    SockRef::from(&listener).set_recv_buffer_size(SOCKET_BUFFER_BYTES).expect("a small buffer");
     let thread = spawn(move || {
         let (mut stream, _) = listener.accept().expect("accepted connection");
         let mut request = vec![0; read];
         stream.read_exact(&mut request).expect("start of the request");
         stream.write_all(answer.as_bytes()).expect("answer sent");
+        if ending == Ending::ClosedThenReset {
+            stream.shutdown(std::net::Shutdown::Write).expect("output closed");
+        }
         match ending {
-            Ending::Reset => {
+            Ending::Reset | Ending::ClosedThenReset => {
                 // Gives the client time to read the answer before the reset.
                 std::thread::sleep(Duration::from_millis(100));
                 SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("linger option set");
@@ -66,7 +82,10 @@
 }
 
 async fn exchange(request: EndpointRequest) -> Result<(u16, Vec<u8>), ExchangeError> {
-    let mut exchange = EndpointExchange::open(&ServiceConfig::default(), request).await?;
+    read_answer(EndpointExchange::open(&ServiceConfig::default(), request).await?).await
+}
+
+async fn read_answer(mut exchange: EndpointExchange) -> Result<(u16, Vec<u8>), ExchangeError> {
     let head = exchange.read_head().await?;
     let mut body = Vec::new();
     while let Some(part) = exchange.read_part().await? {
@@ -148,6 +167,73 @@
     assert_eq!((status, body.as_slice()), (413, &b"no"[..]));
 }
 
+/// Sends a request whose upload is still being written when the answer ends as `ending` says.
+///
+/// The socket has little room for it, so that this holds on any machine.
+async fn answer_during_upload(
+    text: &'static str,
+    ending: Ending,
+) -> Result<(u16, Vec<u8>), ExchangeError> {
+    let (request, thread) = endpoint(text, 10, ending);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES).expect("a small buffer");
+    socket.connect(&request.address.into()).expect("a connection");
+    socket.set_nonblocking(true).expect("an option");
+    let stream = TcpStream::from_std(socket.into()).expect("a stream of the runtime");
+    let connection = EndpointConnection::Direct(stream);
+    let body = Bytes::from(vec![b'x'; 32 * SOCKET_BUFFER_BYTES]);
+    let config = ServiceConfig::default();
+    let opened = EndpointExchange::start(&config, connection, request.head, &body);
+    let result = read_answer(opened.expect("a request that can be sent")).await;
+    thread.join().expect("endpoint thread ends");
+    result
+}
+
+/// Guards against a part of an answer that passes as whole: the kernel reports a reset once, here to
+/// the sender of the upload, and the receiver sees an orderly end.
+#[actix_rt::test]
+async fn answer_that_is_reset_during_the_upload_is_not_complete() {
+    let texts = [
+        "HTTP/1.1 200 OK\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\nid: 0\ndata: half\n\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ];
+    for text in texts {
+        for ending in [Ending::Reset, Ending::ClosedThenReset] {
+            let error = answer_during_upload(text, ending).await.expect_err(text);
+            assert!(!error.is_unsent(), "{text}: {error}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn whole_answer_during_the_upload_is_complete() {
+    let lengthless = answer_during_upload("HTTP/1.1 200 OK\r\n\r\nwhole", Ending::Closed).await;
+    assert_eq!(lengthless.expect("the endpoint read all").1, b"whole");
+    for ending in [Ending::Closed, Ending::Reset, Ending::ClosedThenReset] {
+        let text = "HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno";
+        let (status, body) = answer_during_upload(text, ending).await.expect("a length");
+        assert_eq!((status, body.as_slice()), (413, &b"no"[..]), "{ending:?}");
+    }
+}
+
+/// Guards against an answer whose status is none: HTTP has statuses of three digits from 100 on.
+#[actix_rt::test]
+async fn answers_without_a_valid_status_are_errors() {
+    for status in ["000", "001", "099", "20", "2000", "2 0", "-20", "", "abc"] {
+        for interim in ["", "HTTP/1.1 100 Continue\r\n\r\n"] {
+            let text = format!("{interim}HTTP/1.1 {status} OK\r\ncontent-length: 5\r\n\r\nwhole");
+            let found = answer_of(String::leak(text), Ending::Closed).await;
+            assert!(found.is_err(), "{interim}{status}: {found:?}");
+        }
+        let text = format!("HTTP/1.1 {status} Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nwhole");
+        let found = answer_of(String::leak(text), Ending::Closed).await;
+        assert!(found.is_err(), "interim {status}: {found:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn refused_connection_sends_nothing() {
     let (mut request, _) = endpoint("", 0, Ending::Closed);
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -170,6 +170,28 @@
     assert!(end.is_err(), "{end:?}");
 }
 
+/// Guards against a part of an answer that passes as whole: the peer is told of the reset as it sends
+/// the request on, and reads an orderly end after that. Which half is told first differs by chance.
+#[actix_rt::test]
+async fn answer_that_is_reset_during_the_request_does_not_end_as_complete() {
+    let relay = Relay::start(EndpointPhase::Ready).await;
+    socket2::SockRef::from(&relay.endpoint).set_recv_buffer_size(4_096).expect("an option");
+    for round in 0..16 {
+        let (stream, mut endpoint) = relay.open_both().await;
+        let (mut input, mut output) = tokio::io::split(stream);
+        let request = vec![b'x'; 16 * 1_024 * 1_024];
+        let sending = actix_rt::spawn(async move { output.write_all(&request).await });
+        endpoint.write_all(ANSWER).await.expect("the answer is sent");
+        let mut answer = vec![0; ANSWER.len()];
+        input.read_exact(&mut answer).await.expect("the bytes of the answer");
+        socket2::SockRef::from(&endpoint).set_linger(Some(Duration::ZERO)).expect("an option");
+        drop(endpoint);
+        let end = input.read(&mut answer).await;
+        assert!(end.is_err(), "round {round}: {end:?}");
+        sending.abort();
+    }
+}
+
 #[actix_rt::test]
 async fn endpoint_learns_at_once_that_the_node_has_left() {
     let relay = Relay::start(EndpointPhase::Ready).await;
--- a/crates/apricotknot/tests/stale_refusals.rs
+++ b/crates/apricotknot/tests/stale_refusals.rs
@@ -151,6 +151,65 @@
     Ok(())
 }
 
+/// Starts an endpoint that answers with a part of a body at once, without a length, and resets the
+/// connection while the request is still being written.
+async fn start_resetting() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4_096)?;
+    let address = listener.local_addr()?;
+    actix_rt::spawn(async move {
+        if let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 16]).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"half\": 1}").await;
+            // Gives the client time to read the part before the reset.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    });
+    Ok(address)
+}
+
+// Guards against a part of an answer that passes as whole, as only the sender is told of the reset.
+#[actix_rt::test]
+async fn answer_that_is_reset_during_the_request_is_lost() -> std::io::Result<()> {
+    let body = Bytes::from(vec![b'x'; 16 * 1_024 * 1_024]);
+    for _ in 0..4 {
+        let mut call = plain_request(start_resetting().await?, RUN);
+        call.body = body.clone();
+        let outcome = HttpPlainClient::new(answer_budget()).call(call).await;
+        let error = outcome.map_err(|error| error.kind()).err();
+        assert_eq!(error, Some(PlainErrorKind::Lost));
+        let mut prompt = engine_request(start_resetting().await?, RUN);
+        prompt.body = body.clone();
+        let answer = HttpEngineClient::new().start(prompt).await;
+        let error = answer.map_err(|error| error.kind()).err();
+        assert_eq!(error, Some(EngineErrorKind::Lost));
+    }
+    Ok(())
+}
+
+// Guards against an answer whose status is none.
+#[actix_rt::test]
+async fn answer_without_a_valid_status_is_lost() -> std::io::Result<()> {
+    for answer in [
+        "HTTP/1.1 000 None\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 099 Low\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 20 Short\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 2000 Long\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 000 Early\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+    ] {
+        let client = HttpPlainClient::new(answer_budget());
+        let outcome = client.call(plain_request(start_answering(answer).await?, RUN)).await;
+        let error = outcome.map_err(|error| error.kind()).err();
+        assert_eq!(error, Some(PlainErrorKind::Lost), "{answer}");
+        let request = engine_request(start_answering(answer).await?, RUN);
+        let answered = HttpEngineClient::new().start(request).await;
+        let error = answered.map_err(|error| error.kind()).err();
+        assert_eq!(error, Some(EngineErrorKind::Lost), "{answer}");
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn second_copy_of_a_refusal_does_not_refuse_the_next_prompt() {
     for echoed in [Some(REFUSED), None] {
