callers: each request has a codec of its own, so that no answer takes its form from the next one

Cause: a connection reads one request ahead to notice that its caller leaves; the codec that decodes it still had to encode the present answer, and decoding sets for which method, version and wish to close that is done. Ruled out: the body is lost on the way (with a GET behind it both answers were whole). Change: CallerCodec has a codec for the present request and one for the one that is read ahead; a head that cannot be read is answered by a new one. Open: the server of `apricotknot run` decodes ahead with one codec too (the library's); not mended here.

--- a/crates/apricotknot-gateway/src/caller/caller_codec.rs
+++ b/crates/apricotknot-gateway/src/caller/caller_codec.rs
@@ -18,8 +18,15 @@
 const HEAD_SLACK_BYTES: usize = 1_024;
 
 /// Decodes requests and encodes answers.
+///
+/// Decoding a head sets how the answer to it is encoded: without a body for HEAD, and by its version
+/// and its wish to close. So each request has a codec of its own, also one that is read ahead.
 pub(super) struct CallerCodec {
-    inner: Codec,
+    config: ServiceConfig,
+    /// Codec of the present request and its answer.
+    present: Codec,
+    /// Codec of the next request, if it is read before the present one is answered.
+    ahead: Option<Codec>,
     /// Largest head, and most bytes of chunk extensions and trailers between two parts of a body.
     head_limit: usize,
     /// Bytes of the body's framing since its last part.
@@ -29,7 +36,22 @@
 impl CallerCodec {
     /// Creates the codec of a new connection.
     pub(super) fn new(config: ServiceConfig, head_limit: usize) -> Self {
-        Self { inner: Codec::new(config), head_limit, framing: 0 }
+        let present = Codec::new(config.clone());
+        Self { config, present, ahead: None, head_limit, framing: 0 }
+    }
+
+    /// Begins the next request, once the present one is answered.
+    pub(super) fn begin_request(&mut self) {
+        self.present = self.ahead.take().unwrap_or_else(|| Codec::new(self.config.clone()));
+    }
+
+    /// Decodes the next request from now on, while the present one is answered.
+    pub(super) fn read_ahead(&mut self) {
+        self.ahead.get_or_insert_with(|| Codec::new(self.config.clone()));
+    }
+
+    fn decoder(&mut self) -> &mut Codec {
+        self.ahead.as_mut().unwrap_or(&mut self.present)
     }
 
     /// Sets the largest head of the next requests, in bytes.
@@ -42,7 +64,7 @@
         input: &mut BytesMut,
     ) -> Result<Option<Message<Request>>, ParseError> {
         self.framing = 0;
-        let message = self.inner.decode(input)?;
+        let message = self.decoder().decode(input)?;
         if message.is_none() && input.len() > self.head_limit + HEAD_SLACK_BYTES {
             return Err(ParseError::TooLarge);
         }
@@ -54,7 +76,7 @@
         input: &mut BytesMut,
     ) -> Result<Option<Message<Request>>, ParseError> {
         let before = input.len();
-        let message = self.inner.decode(input)?;
+        let message = self.decoder().decode(input)?;
         if matches!(message, Some(Message::Chunk(_))) {
             self.framing = 0;
             return Ok(message);
@@ -70,12 +92,12 @@
 impl CallerCodec {
     /// Returns whether the connection can carry another request.
     pub(super) fn keep_alive(&self) -> bool {
-        self.inner.keep_alive()
+        self.present.keep_alive()
     }
 
-    /// Returns how the body of the request is framed.
+    /// Returns how the body of the present request is framed.
     pub(super) fn message_type(&self) -> MessageType {
-        self.inner.message_type()
+        self.present.message_type()
     }
 }
 
@@ -84,7 +106,7 @@
     type Error = ParseError;
 
     fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
-        match self.inner.message_type() {
+        match self.decoder().message_type() {
             MessageType::None => self.decode_head(input),
             _ => self.decode_body(input),
         }
@@ -99,6 +121,6 @@
         message: Message<(Response<()>, BodySize)>,
         output: &mut BytesMut,
     ) -> Result<(), Self::Error> {
-        self.inner.encode(message, output)
+        self.present.encode(message, output)
     }
 }
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -249,6 +249,7 @@
     }
 
     async fn read_head(&mut self, limits: &InputLimits) -> Result<Request, ConnectionError> {
+        self.framed.codec_mut().begin_request();
         if let Some(request) = self.pipelined.take() {
             return Ok(request);
         }
@@ -408,6 +409,7 @@
         if self.pipelined.is_some() || self.is_input_refused {
             return Poll::Pending;
         }
+        self.framed.codec_mut().read_ahead();
         match Pin::new(&mut self.framed).next_item(context) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(Message::Item(request)))) => {
