driver: a silent attempt is set aside, not ended, while another endpoint is tried

Cause: the attempt ended with the grant for another endpoint, before that one had answered. Ruled out: the stop ends the stream (3 s of its time were left; the engine saw its connection closed as it went on). Change: driver/standby.rs keeps the silent attempt and watches its connection; the first of both that goes on has the call; after a refusal, a failure or no connection the silent one is waited for again. When others are tried, how often, and by how many a call may run is as before; memory that no engine begins to use is given back as before.

--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -8,11 +8,13 @@
 use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
+use bytes::BytesMut;
 
 use super::reservation::ReservationGuard;
 use crate::control::AttemptGuard;
 use crate::control::HelperGrant;
 use crate::endpoint::EndpointExchange;
+use crate::endpoint::EventSplitter;
 
 /// Holds an attempt whose connection to the endpoint is open.
 pub(super) struct OpenAttempt {
@@ -90,6 +92,34 @@
     pub(super) open: OpenAttempt,
     /// Head of the answer.
     pub(super) head: ResponseHead,
+    /// What has been read of the body and not been forwarded.
+    pub(super) body: AnswerBody,
+}
+
+/// What has been read of the body of an answer and not been forwarded.
+pub(super) enum AnswerBody {
+    /// The end of a stream after its last complete event.
+    Events(EventSplitter),
+    /// All of an answer that is forwarded once it is complete.
+    Whole(BytesMut),
+}
+
+/// Holds an attempt in progress, by how far its answer has come.
+pub(super) enum AttemptStage {
+    /// No head of an answer has arrived.
+    Sent(OpenAttempt),
+    /// The answer has begun.
+    Answered(AnsweredAttempt),
+}
+
+impl AttemptStage {
+    /// Returns the attempt.
+    pub(super) fn open_mut(&mut self) -> &mut OpenAttempt {
+        match self {
+            Self::Sent(open) => open,
+            Self::Answered(answered) => &mut answered.open,
+        }
+    }
 }
 
 /// Reports whether an attempt without a usable answer may have run.
@@ -110,6 +140,8 @@
     Deadline,
     /// The endpoint sent nothing for longer than the silence limit.
     Silence,
+    /// The silent endpoint that was to be replaced goes on.
+    StandbyInput,
 }
 
 /// Reports why an attempt ended without a complete answer.
@@ -121,4 +153,8 @@
     CallerDisconnected,
     /// The deadline of the call has passed.
     Deadline,
+    /// The attempt is silent and was set aside; another endpoint is tried beside it.
+    SetAside,
+    /// The attempt that was set aside goes on, and this one is given up for it.
+    StandbyInput,
 }
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -99,7 +99,8 @@
         let reserving = reserve(self.context, grant.guard.attempt(), &grant.helpers);
         match self.unless_interrupted(reserving, None).await {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
-            Err(_) => Err(CallInterrupt::Deadline),
+            Err(WaitInterrupt::StandbyInput) => Err(CallInterrupt::StandbyInput),
+            Err(WaitInterrupt::Deadline | WaitInterrupt::Silence) => Err(CallInterrupt::Deadline),
             Ok(Ok(reserved)) => Ok(reserved),
             Ok(Err(refused)) => {
                 for endpoint in refused {
@@ -126,7 +127,8 @@
             connect_to(self.context, &grant.endpoint, grant.address, &grant.path, CONNECT_TIMEOUT);
         match self.unless_interrupted(connecting, None).await {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
-            Err(_) => Err(CallInterrupt::Deadline),
+            Err(WaitInterrupt::StandbyInput) => Err(CallInterrupt::StandbyInput),
+            Err(WaitInterrupt::Deadline | WaitInterrupt::Silence) => Err(CallInterrupt::Deadline),
             Ok(Err(error)) => Err(self.end_unconnected(grant, &error)),
             Ok(Ok(connection)) => Ok(connection),
         }
--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -1,10 +1,14 @@
 //! Forwards an answer once it is complete.
 
+use actix_http::ResponseHead;
 use bytes::BytesMut;
 
+use super::attempt::AnswerBody;
 use super::attempt::AnsweredAttempt;
 use super::attempt::AttemptFault;
+use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
+use super::attempt::OpenAttempt;
 use super::call_driver::CallDriver;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
@@ -19,15 +23,17 @@
     /// A server error is kept as the fallback instead if another endpoint may be tried.
     pub(super) async fn relay_buffered(
         &mut self,
-        answered: AnsweredAttempt,
+        mut open: OpenAttempt,
+        head: ResponseHead,
+        mut body: BytesMut,
     ) -> Result<(), CallInterrupt> {
-        let AnsweredAttempt { mut open, head } = answered;
-        let mut body = BytesMut::new();
         let fallback_bytes = self.fallback.as_ref().map_or(0, |(_, body)| body.len());
         loop {
             match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => {
-                    return Err(self.interrupt_attempt(open.guard, &open.endpoint, reason));
+                    let body = AnswerBody::Whole(body);
+                    let stage = AttemptStage::Answered(AnsweredAttempt { open, head, body });
+                    return Err(self.interrupt_stage(stage, reason));
                 },
                 Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
                 Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_BUFFERED_ANSWER_BYTES => {
@@ -50,7 +56,7 @@
             let end = open.failed_end();
             open.guard.set_end(end);
             self.record_failed_attempt(&open.endpoint, end, head.status.as_str());
-            if self.may_run_again() {
+            if self.may_run_again() || self.standby.is_some() {
                 self.fallback = Some((head, body));
                 self.excluded.push(open.endpoint);
                 return Err(CallInterrupt::Attempt(AttemptFault::MayHaveRun));
@@ -59,6 +65,7 @@
             self.record_answer_begun(&open);
             self.record_answered(&mut open);
         }
+        self.drop_standby();
         self.write_answer(head, body).map_err(|_| CallInterrupt::CallerDisconnected)
     }
 }
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -1,5 +1,6 @@
 //! Driver of one call: it places the call, makes its attempts and forwards the answer.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,14 +14,17 @@
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::MonotonicTime;
 use bytes::Bytes;
+use bytes::BytesMut;
 use tokio::sync::watch;
 
 use super::AdmittedCall;
 use super::CallFault;
 use super::CallOutcome;
 use super::TrafficContext;
+use super::attempt::AnswerBody;
 use super::attempt::AnsweredAttempt;
 use super::attempt::AttemptFault;
+use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
 use super::attempt::OpenAttempt;
 use super::attempt::WaitInterrupt;
@@ -28,16 +32,16 @@
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::remove_hop_by_hop_headers;
-use crate::control::AttemptGuard;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
 use crate::endpoint::AnswerMemory;
 use crate::endpoint::EndpointExchange;
+use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
 use crate::protocol::CallProtocol;
 
 /// Most attempts that one call sends to endpoints, including those that are refused.
-const MAX_SENDS: u32 = 4;
+pub(super) const MAX_SENDS: u32 = 4;
 
 /// Most attempts of one call for which no peer made a connection.
 const MAX_RELAY_FAILURES: u32 = 2;
@@ -72,6 +76,12 @@
     pub(super) answer_begun_after: Option<Duration>,
     /// Grant for the endpoint that replaces a silent one.
     pub(super) next_grant: Option<EndpointGrant>,
+    /// Silent attempt that goes on if the one that replaces it does not begin first.
+    pub(super) standby: Option<Box<AttemptStage>>,
+    /// Number of endpoints that were to replace silent ones.
+    pub(super) replacements: u32,
+    /// Whether input of the attempt that was set aside has interrupted the one in progress.
+    pub(super) has_standby_input: bool,
     /// Number of attempts that were sent to endpoints.
     pub(super) sends: u32,
     /// Number of attempts that may have run.
@@ -104,6 +114,9 @@
             is_counted: false,
             answer_begun_after: None,
             next_grant: None,
+            standby: None,
+            replacements: 0,
+            has_standby_input: false,
             sends: 0,
             runs: 0,
             fallback: None,
@@ -113,40 +126,66 @@
 
     /// Runs the call to its end.
     pub(super) async fn run(mut self) -> CallOutcome {
-        let outcome = loop {
-            let grant = match self.request_grant().await {
-                Ok(grant) => grant,
-                Err(outcome) => break outcome,
-            };
-            match self.run_attempt(grant).await {
-                Ok(()) => break CallOutcome::Answered,
-                Err(CallInterrupt::CallerDisconnected) => break CallOutcome::CallerDisconnected,
-                Err(CallInterrupt::Deadline) => break self.deadline_outcome(),
-                Err(CallInterrupt::Attempt(fault)) if self.may_try_another(fault) => {},
-                Err(CallInterrupt::Attempt(_)) => break self.failure_outcome(None),
-            }
-        };
+        let outcome = self.make_attempts().await;
+        self.drop_standby();
         let outcome = self.answer_caller(outcome).await;
         self.record_outcome(&outcome);
         outcome
     }
 
+    /// Makes attempts until one is answered or no further one is made.
+    async fn make_attempts(&mut self) -> CallOutcome {
+        let mut resumed = None;
+        loop {
+            let ended = match resumed.take() {
+                Some(stage) => self.finish_attempt(stage).await,
+                None => match self.request_grant().await {
+                    Ok(grant) => self.run_attempt(grant).await,
+                    Err(outcome) => return outcome,
+                },
+            };
+            let interrupt = match ended {
+                Ok(()) => return CallOutcome::Answered,
+                Err(interrupt) => interrupt,
+            };
+            match interrupt {
+                CallInterrupt::CallerDisconnected => return CallOutcome::CallerDisconnected,
+                CallInterrupt::Deadline => return self.deadline_outcome(),
+                CallInterrupt::SetAside => {},
+                CallInterrupt::StandbyInput => resumed = self.take_standby(),
+                CallInterrupt::Attempt(fault) => {
+                    resumed = self.take_standby();
+                    if resumed.is_none() && !self.may_try_another(fault) {
+                        return self.failure_outcome(None);
+                    }
+                },
+            }
+        }
+    }
+
     /// Makes one attempt and forwards its answer.
     async fn run_attempt(&mut self, grant: EndpointGrant) -> Result<(), CallInterrupt> {
         let open = self.open_attempt(grant).await?;
-        let answered = self.read_head(open).await?;
-        let is_stream = self.call.route.kind == CallKind::Stream;
-        if is_stream && answered.head.status.is_success() {
-            return self.relay_events(answered).await;
+        self.finish_attempt(AttemptStage::Sent(open)).await
+    }
+
+    /// Reads the answer of an attempt in progress, and forwards it.
+    async fn finish_attempt(&mut self, stage: AttemptStage) -> Result<(), CallInterrupt> {
+        let AnsweredAttempt { open, head, body } = match stage {
+            AttemptStage::Sent(open) => self.read_head(open).await?,
+            AttemptStage::Answered(answered) => answered,
+        };
+        match body {
+            AnswerBody::Events(splitter) => self.relay_events(open, head, splitter).await,
+            AnswerBody::Whole(body) => self.relay_buffered(open, head, body).await,
         }
-        self.relay_buffered(answered).await
     }
 
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallInterrupt> {
         match self.next_step(&mut open, EndpointExchange::read_head).await {
             Err(reason) => {
                 self.count_unanswered(&open);
-                Err(self.interrupt_attempt(open.guard, &open.endpoint, reason))
+                Err(self.interrupt_stage(AttemptStage::Sent(open), reason))
             },
             Ok(Err(error)) => {
                 self.count_unanswered(&open);
@@ -191,7 +230,12 @@
             && answered_id.is_some()
             && !head.headers.contains_key(CONTENT_ENCODING);
         if is_valid && self.can_continue(&head) {
-            return Ok(AnsweredAttempt { open, head });
+            let is_stream = self.call.route.kind == CallKind::Stream && head.status.is_success();
+            let body = match is_stream {
+                true => AnswerBody::Events(EventSplitter::default()),
+                false => AnswerBody::Whole(BytesMut::new()),
+            };
+            return Ok(AnsweredAttempt { open, head, body });
         }
         let end = open.failed_end();
         open.guard.set_end(end);
@@ -266,37 +310,21 @@
         Some(self.call.route.target_latency.max(expected_start * 2) * 2 + MIN_SILENCE_LIMIT)
     }
 
-    /// Ends an attempt that the gateway or the caller interrupted.
-    pub(super) fn interrupt_attempt(
-        &mut self,
-        mut guard: AttemptGuard,
-        endpoint: &EndpointId,
-        reason: WaitInterrupt,
-    ) -> CallInterrupt {
-        self.runs += 1;
-        match reason {
-            WaitInterrupt::CallerDisconnected => CallInterrupt::CallerDisconnected,
-            WaitInterrupt::Deadline => {
-                guard.set_end(AttemptEnd::Silent);
-                self.record_failed_attempt(endpoint, AttemptEnd::Silent, "deadline");
-                CallInterrupt::Deadline
-            },
-            WaitInterrupt::Silence => {
-                guard.set_end(AttemptEnd::Silent);
-                self.record_failed_attempt(endpoint, AttemptEnd::Silent, "silence");
-                CallInterrupt::Attempt(AttemptFault::MayHaveRun)
-            },
-        }
-    }
-
     /// Ends an attempt whose connection broke after the request was sent.
     pub(super) fn end_broken_attempt(
         &mut self,
         mut open: OpenAttempt,
         error: &ExchangeError,
     ) -> CallInterrupt {
-        open.guard.set_end(AttemptEnd::Broken);
         self.runs += 1;
+        self.record_broken(&mut open, &error.to_string());
+        self.excluded.push(open.endpoint);
+        CallInterrupt::Attempt(AttemptFault::MayHaveRun)
+    }
+
+    /// Reports to the control thread that the connection of an attempt broke.
+    pub(super) fn record_broken(&self, open: &mut OpenAttempt, cause: &str) {
+        open.guard.set_end(AttemptEnd::Broken);
         self.context.control.send(ControlCommand::ConnectionBroken {
             fingerprint: self.call.fingerprint,
             endpoint: Arc::clone(&open.endpoint),
@@ -310,9 +338,7 @@
                 age_ms: 0,
             }));
         }
-        self.record_failed_attempt(&open.endpoint, AttemptEnd::Broken, &error.to_string());
-        self.excluded.push(open.endpoint);
-        CallInterrupt::Attempt(AttemptFault::MayHaveRun)
+        self.record_failed_attempt(&open.endpoint, AttemptEnd::Broken, cause);
     }
 
     /// Answers the caller with the fallback or the error, if the call was not answered.
@@ -368,7 +394,9 @@
                 Err(WaitInterrupt::Silence) if open.is_unused(self.now()) => {
                     return Err(WaitInterrupt::Silence);
                 },
-                Err(WaitInterrupt::Silence) if !self.find_replacement(&open.endpoint).await => {
+                Err(WaitInterrupt::Silence)
+                    if !self.may_set_aside() || !self.find_replacement(&open.endpoint).await =>
+                {
                     open.silence_limit = None;
                 },
                 ended => return ended,
@@ -376,32 +404,40 @@
         }
     }
 
-    /// Waits for `work` unless the caller disconnects, the deadline passes, the node ends or the silence
-    /// limit is reached first.
+    /// Waits for `work` unless the caller disconnects, the deadline passes, the node ends, the attempt
+    /// that was set aside goes on or the silence limit is reached first.
     pub(super) async fn unless_interrupted<F: Future>(
         &mut self,
         work: F,
         silence_limit: Option<Duration>,
     ) -> Result<F::Output, WaitInterrupt> {
         let left = self.call.deadline.saturating_sub(self.now());
-        let silence = async {
-            match silence_limit {
-                Some(silence_limit) => tokio::time::sleep(silence_limit).await,
-                None => std::future::pending().await,
-            }
-        };
         if left.is_zero() {
             return Err(WaitInterrupt::Deadline);
         }
-        // The caller and the deadline come first: with an endpoint that sends without end, the work
-        // is always ready.
-        tokio::select! {
-            biased;
-            () = self.connection.wait_closed() => Err(WaitInterrupt::CallerDisconnected),
-            () = tokio::time::sleep(left) => Err(WaitInterrupt::Deadline),
-            _ = self.ending.wait_for(|is_ending| *is_ending) => Err(WaitInterrupt::Deadline),
-            output = work => Ok(output),
-            () = silence => Err(WaitInterrupt::Silence),
+        let mut work = pin!(work);
+        let mut deadline = pin!(tokio::time::sleep(left));
+        let mut silence = pin!(sleep_or_wait(silence_limit));
+        loop {
+            let standby = self.standby.as_deref_mut();
+            // The caller and the deadline come first: with an endpoint that sends without end, the
+            // work is always ready.
+            let has_input = tokio::select! {
+                biased;
+                () = self.connection.wait_closed() => return Err(WaitInterrupt::CallerDisconnected),
+                () = &mut deadline => return Err(WaitInterrupt::Deadline),
+                _ = self.ending.wait_for(|is_ending| *is_ending) => {
+                    return Err(WaitInterrupt::Deadline);
+                },
+                output = &mut work => return Ok(output),
+                has_input = standby_input(standby) => has_input,
+                () = &mut silence => return Err(WaitInterrupt::Silence),
+            };
+            self.has_standby_input = has_input;
+            if has_input {
+                return Err(WaitInterrupt::StandbyInput);
+            }
+            self.end_standby();
         }
     }
 
@@ -409,3 +445,20 @@
         self.context.clock.now()
     }
 }
+
+/// Waits for `time`, or without end.
+async fn sleep_or_wait(time: Option<Duration>) {
+    match time {
+        Some(time) => tokio::time::sleep(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits for input of the attempt that was set aside, without end if there is none; returns `false`
+/// if its connection has ended.
+async fn standby_input(standby: Option<&mut AttemptStage>) -> bool {
+    match standby {
+        Some(stage) => stage.open_mut().exchange.wait_input().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -90,6 +90,25 @@
         );
     }
 
+    /// Logs that an endpoint is silent, and that another one is tried beside it.
+    pub(super) fn log_set_aside(&self, endpoint: &EndpointId) {
+        info!(
+            self.context.logger, "call: endpoint is silent; trying another one beside it";
+            "request" => %self.call.metadata.request_id, "endpoint" => %endpoint,
+            "after_ms" => millis(self.now().saturating_sub(self.call.arrived))
+        );
+    }
+
+    /// Logs that a silent endpoint is waited for again; `has_input` tells whether it goes on.
+    pub(super) fn log_resumed(&self, endpoint: &EndpointId, has_input: bool) {
+        info!(
+            self.context.logger, "call: going back to the endpoint that was silent";
+            "request" => %self.call.metadata.request_id, "endpoint" => %endpoint,
+            "has_input" => has_input,
+            "after_ms" => millis(self.now().saturating_sub(self.call.arrived))
+        );
+    }
+
     /// Counts and logs an attempt that failed.
     pub(super) fn record_failed_attempt(
         &self,
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -6,7 +6,9 @@
 use actix_http::body::BodySize;
 use actix_http::header::CONTENT_TYPE;
 
+use super::attempt::AnswerBody;
 use super::attempt::AnsweredAttempt;
+use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
 use super::attempt::OpenAttempt;
 use super::call_driver::CallDriver;
@@ -35,14 +37,16 @@
     /// Only complete events are forwarded, so that another endpoint can continue after each one.
     pub(super) async fn relay_events(
         &mut self,
-        answered: AnsweredAttempt,
+        mut open: OpenAttempt,
+        head: ResponseHead,
+        mut splitter: EventSplitter,
     ) -> Result<(), CallInterrupt> {
-        let AnsweredAttempt { mut open, head } = answered;
-        let mut splitter = EventSplitter::default();
         loop {
             match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => {
-                    return Err(self.interrupt_attempt(open.guard, &open.endpoint, reason));
+                    let body = AnswerBody::Events(splitter);
+                    let stage = AttemptStage::Answered(AnsweredAttempt { open, head, body });
+                    return Err(self.interrupt_stage(stage, reason));
                 },
                 Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
                 Ok(Ok(None)) if splitter.is_empty() => break,
@@ -62,6 +66,7 @@
                 if !self.is_next(&event, is_first) {
                     return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
                 }
+                self.drop_standby();
                 self.forward(&head, event)?;
             }
             if splitter.len() > MAX_EVENT_BYTES {
--- a/crates/apricotknot-gateway/src/driver/mod.rs
+++ b/crates/apricotknot-gateway/src/driver/mod.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod reservation;
 mod session;
+mod standby;
 mod usage_count;
 
 pub use admitted_call::AdmittedCall;
--- /dev/null
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -0,0 +1,91 @@
+//! Silent attempts that are kept while another endpoint is tried.
+//!
+//! An endpoint that is silent may still go on, for instance after it has preempted a request. So its
+//! attempt is given up only once another one has begun to answer, and goes on if it is the first.
+
+use apricotknot_core::fleet::AttemptEnd;
+use apricotknot_core::types::EndpointId;
+
+use super::attempt::AttemptFault;
+use super::attempt::AttemptStage;
+use super::attempt::CallInterrupt;
+use super::attempt::WaitInterrupt;
+use super::call_driver::CallDriver;
+use super::call_driver::MAX_SENDS;
+use crate::protocol::CallProtocol;
+
+/// Most endpoints that are tried for silent ones in one call, whether they are reached or not.
+const MAX_REPLACEMENTS: u32 = 4;
+
+impl<P: CallProtocol> CallDriver<'_, P> {
+    /// Returns whether another endpoint may be tried beside a silent one.
+    pub(super) fn may_set_aside(&self) -> bool {
+        self.standby.is_none()
+            && self.replacements < MAX_REPLACEMENTS
+            && self.sends < MAX_SENDS
+            && self.may_run_again()
+            && self.runs + 1 < self.call.route.max_attempts
+    }
+
+    /// Ends or sets aside an attempt whose wait was interrupted for `reason`.
+    pub(super) fn interrupt_stage(
+        &mut self,
+        mut stage: AttemptStage,
+        reason: WaitInterrupt,
+    ) -> CallInterrupt {
+        if reason == WaitInterrupt::Silence && self.next_grant.is_some() {
+            self.log_set_aside(&stage.open_mut().endpoint);
+            // It may have run, whatever becomes of the other one.
+            self.runs += 1;
+            self.replacements += 1;
+            self.standby = Some(Box::new(stage));
+            return CallInterrupt::SetAside;
+        }
+        self.runs += 1;
+        let cause = match reason {
+            WaitInterrupt::CallerDisconnected => return CallInterrupt::CallerDisconnected,
+            WaitInterrupt::StandbyInput => return CallInterrupt::StandbyInput,
+            WaitInterrupt::Deadline => "deadline",
+            WaitInterrupt::Silence => "silence",
+        };
+        let open = stage.open_mut();
+        open.guard.set_end(AttemptEnd::Silent);
+        self.record_failed_attempt(&open.endpoint, AttemptEnd::Silent, cause);
+        match reason {
+            WaitInterrupt::Silence => CallInterrupt::Attempt(AttemptFault::MayHaveRun),
+            _ => CallInterrupt::Deadline,
+        }
+    }
+
+    /// Returns the attempt that was set aside, as the one in progress, if there is one.
+    pub(super) fn take_standby(&mut self) -> Option<AttemptStage> {
+        let mut stage = *self.standby.take()?;
+        self.next_grant = None;
+        self.runs -= 1;
+        let has_input = std::mem::take(&mut self.has_standby_input);
+        let now = self.now();
+        let open = stage.open_mut();
+        if has_input {
+            open.progress_at = now;
+        }
+        self.log_resumed(&open.endpoint, has_input);
+        self.endpoint = Some(EndpointId::clone(&open.endpoint));
+        Some(stage)
+    }
+
+    /// Gives up the attempt that was set aside, as another one has begun to answer or none will.
+    pub(super) fn drop_standby(&mut self) {
+        if let Some(mut stage) = self.standby.take() {
+            let open = stage.open_mut();
+            open.guard.set_end(AttemptEnd::Silent);
+            self.record_failed_attempt(&open.endpoint, AttemptEnd::Silent, "silence");
+        }
+    }
+
+    /// Ends the attempt that was set aside, as its connection has ended.
+    pub(super) fn end_standby(&mut self) {
+        if let Some(mut stage) = self.standby.take() {
+            self.record_broken(stage.open_mut(), "the connection ended while it was silent");
+        }
+    }
+}
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -36,6 +36,8 @@
     /// As [`DisconnectAfter`](Self::DisconnectAfter), and requests to resume a stream are answered
     /// with a message in plain text, under a status of success.
     DisconnectAfterThenText(u64),
+    /// Streams pause for this time after this number of events, and answers of calls come after it.
+    Pause(u64, Duration),
     /// The endpoint refuses requests as full, and runs none.
     Full,
     /// Requests run, and the endpoint sends the refusal of another request instead of the answer.
@@ -229,10 +231,16 @@
 
 impl HttpHandler for EndpointHandler {
     async fn handle(self: Rc<Self>, call: HttpCall) -> HttpReply {
+        let fault = self.lock().fault;
         let reply = match call.path.as_str() {
             "/order" => self.handle_reservation(&call),
             _ => self.handle_request(&call),
         };
+        if let EndpointFault::Pause(_, pause) = fault
+            && call.header("token-count").is_none()
+        {
+            actix_rt::time::sleep(pause).await;
+        }
         match self.lock().is_leaving {
             true => reply.header("server-leaving", "1"),
             false => reply,
@@ -382,12 +390,19 @@
         | EndpointFault::DisconnectAfterThenText(count) => first + count,
         _ => u64::MAX,
     };
+    let (pause_at, pause) = match fault {
+        EndpointFault::Pause(count, pause) => (first + count, pause),
+        _ => (u64::MAX, Duration::ZERO),
+    };
     unfold((first, guard), move |(number, mut guard)| async move {
         if number >= EVENT_COUNT {
             guard.mark_complete();
             return None;
         }
         actix_rt::time::sleep(interval).await;
+        if number == pause_at {
+            actix_rt::time::sleep(pause).await;
+        }
         if number >= disconnect_at {
             // Breaks the connection in the middle of the stream.
             let broken = io::Error::from(io::ErrorKind::ConnectionReset);
