driver: an attempt that was set aside goes on with a whole event, not with a byte

Change: while it is set aside, the answer is read on and kept: a head of success, a whole event, a part of a call's answer or the end let it go on; a refusal or a broken connection ends it. relay_events forwards what is there before it reads.

--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::types::MonotonicTime;
 use bytes::BytesMut;
 
+use super::event_relay::MAX_EVENT_BYTES;
 use super::reservation::ReservationGuard;
 use crate::control::AttemptGuard;
 use crate::control::HelperGrant;
@@ -30,6 +31,8 @@
     pub(super) unused_until: Option<MonotonicTime>,
     /// Connection to the endpoint.
     pub(super) exchange: EndpointExchange,
+    /// Head of the answer, if it arrived while the attempt was set aside.
+    pub(super) early_head: Option<ResponseHead>,
     /// Longest time without progress of the answer, or `None` for no limit.
     pub(super) silence_limit: Option<Duration>,
     /// Time at which the answer last made progress: its head, a part of its body or, in a stream, a
@@ -112,6 +115,17 @@
     Answered(AnsweredAttempt),
 }
 
+/// What became of an attempt that was set aside.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum StandbyEvent {
+    /// Its answer goes on.
+    GoesOn,
+    /// The endpoint answered with a failure.
+    Failed,
+    /// Its connection broke.
+    Broken,
+}
+
 impl AttemptStage {
     /// Returns the attempt.
     pub(super) fn open_mut(&mut self) -> &mut OpenAttempt {
@@ -120,6 +134,43 @@
             Self::Answered(answered) => &mut answered.open,
         }
     }
+
+    /// Waits until a silent answer goes on or cannot; what arrives is kept.
+    ///
+    /// A stream goes on with a complete event.
+    pub(super) async fn wait_event(&mut self) -> StandbyEvent {
+        let AnsweredAttempt { open, body, .. } = match self {
+            Self::Sent(open) => return wait_head(open).await,
+            Self::Answered(answered) => answered,
+        };
+        loop {
+            match (open.exchange.read_part().await, &mut *body) {
+                (Err(_), _) => return StandbyEvent::Broken,
+                (Ok(None), _) => return StandbyEvent::GoesOn,
+                (Ok(Some(part)), AnswerBody::Whole(body)) => {
+                    body.extend_from_slice(&part);
+                    return StandbyEvent::GoesOn;
+                },
+                (Ok(Some(part)), AnswerBody::Events(splitter)) => {
+                    splitter.push(&part);
+                    if splitter.has_event() || splitter.len() > MAX_EVENT_BYTES {
+                        return StandbyEvent::GoesOn;
+                    }
+                },
+            }
+        }
+    }
+}
+
+async fn wait_head(open: &mut OpenAttempt) -> StandbyEvent {
+    match open.exchange.read_head().await {
+        Ok(head) if head.status.is_success() => {
+            open.early_head = Some(head);
+            StandbyEvent::GoesOn
+        },
+        Ok(_) => StandbyEvent::Failed,
+        Err(_) => StandbyEvent::Broken,
+    }
 }
 
 /// Reports whether an attempt without a usable answer may have run.
@@ -141,7 +192,7 @@
     /// The endpoint sent nothing for longer than the silence limit.
     Silence,
     /// The silent endpoint that was to be replaced goes on.
-    StandbyInput,
+    StandbyGoesOn,
 }
 
 /// Reports why an attempt ended without a complete answer.
@@ -156,5 +207,5 @@
     /// The attempt is silent and was set aside; another endpoint is tried beside it.
     SetAside,
     /// The attempt that was set aside goes on, and this one is given up for it.
-    StandbyInput,
+    StandbyGoesOn,
 }
--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -78,6 +78,7 @@
             guard: grant.guard,
             endpoint: grant.endpoint,
             exchange,
+            early_head: None,
             silence_limit: self.silence_limit(grant.expected_start),
             helpers: grant.helpers,
             unused_until: reservations.is_holding().then(|| granted_at + self.unused_limit()),
@@ -99,7 +100,7 @@
         let reserving = reserve(self.context, grant.guard.attempt(), &grant.helpers);
         match self.unless_interrupted(reserving, None).await {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
-            Err(WaitInterrupt::StandbyInput) => Err(CallInterrupt::StandbyInput),
+            Err(WaitInterrupt::StandbyGoesOn) => Err(CallInterrupt::StandbyGoesOn),
             Err(WaitInterrupt::Deadline | WaitInterrupt::Silence) => Err(CallInterrupt::Deadline),
             Ok(Ok(reserved)) => Ok(reserved),
             Ok(Err(refused)) => {
@@ -127,7 +128,7 @@
             connect_to(self.context, &grant.endpoint, grant.address, &grant.path, CONNECT_TIMEOUT);
         match self.unless_interrupted(connecting, None).await {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallInterrupt::CallerDisconnected),
-            Err(WaitInterrupt::StandbyInput) => Err(CallInterrupt::StandbyInput),
+            Err(WaitInterrupt::StandbyGoesOn) => Err(CallInterrupt::StandbyGoesOn),
             Err(WaitInterrupt::Deadline | WaitInterrupt::Silence) => Err(CallInterrupt::Deadline),
             Ok(Err(error)) => Err(self.end_unconnected(grant, &error)),
             Ok(Ok(connection)) => Ok(connection),
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -27,6 +27,7 @@
 use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
 use super::attempt::OpenAttempt;
+use super::attempt::StandbyEvent;
 use super::attempt::WaitInterrupt;
 use super::endpoint_access::report_notices;
 use crate::caller::CallerConnection;
@@ -80,8 +81,6 @@
     pub(super) standby: Option<Box<AttemptStage>>,
     /// Number of endpoints that were to replace silent ones.
     pub(super) replacements: u32,
-    /// Whether input of the attempt that was set aside has interrupted the one in progress.
-    pub(super) has_standby_input: bool,
     /// Number of attempts that were sent to endpoints.
     pub(super) sends: u32,
     /// Number of attempts that may have run.
@@ -116,7 +115,6 @@
             next_grant: None,
             standby: None,
             replacements: 0,
-            has_standby_input: false,
             sends: 0,
             runs: 0,
             fallback: None,
@@ -152,9 +150,9 @@
                 CallInterrupt::CallerDisconnected => return CallOutcome::CallerDisconnected,
                 CallInterrupt::Deadline => return self.deadline_outcome(),
                 CallInterrupt::SetAside => {},
-                CallInterrupt::StandbyInput => resumed = self.take_standby(),
+                CallInterrupt::StandbyGoesOn => resumed = self.take_standby(true),
                 CallInterrupt::Attempt(fault) => {
-                    resumed = self.take_standby();
+                    resumed = self.take_standby(false);
                     if resumed.is_none() && !self.may_try_another(fault) {
                         return self.failure_outcome(None);
                     }
@@ -182,6 +180,9 @@
     }
 
     async fn read_head(&mut self, mut open: OpenAttempt) -> Result<AnsweredAttempt, CallInterrupt> {
+        if let Some(head) = open.early_head.take() {
+            return self.check_head(open, head);
+        }
         match self.next_step(&mut open, EndpointExchange::read_head).await {
             Err(reason) => {
                 self.count_unanswered(&open);
@@ -422,7 +423,7 @@
             let standby = self.standby.as_deref_mut();
             // The caller and the deadline come first: with an endpoint that sends without end, the
             // work is always ready.
-            let has_input = tokio::select! {
+            let event = tokio::select! {
                 biased;
                 () = self.connection.wait_closed() => return Err(WaitInterrupt::CallerDisconnected),
                 () = &mut deadline => return Err(WaitInterrupt::Deadline),
@@ -430,14 +431,13 @@
                     return Err(WaitInterrupt::Deadline);
                 },
                 output = &mut work => return Ok(output),
-                has_input = standby_input(standby) => has_input,
+                event = standby_event(standby) => event,
                 () = &mut silence => return Err(WaitInterrupt::Silence),
             };
-            self.has_standby_input = has_input;
-            if has_input {
-                return Err(WaitInterrupt::StandbyInput);
+            if event == StandbyEvent::GoesOn {
+                return Err(WaitInterrupt::StandbyGoesOn);
             }
-            self.end_standby();
+            self.end_standby(event);
         }
     }
 
@@ -454,11 +454,10 @@
     }
 }
 
-/// Waits for input of the attempt that was set aside, without end if there is none; returns `false`
-/// if its connection has ended.
-async fn standby_input(standby: Option<&mut AttemptStage>) -> bool {
+/// Waits until the attempt that was set aside goes on or cannot; without end if there is none.
+async fn standby_event(standby: Option<&mut AttemptStage>) -> StandbyEvent {
     match standby {
-        Some(stage) => stage.open_mut().exchange.wait_input().await,
+        Some(stage) => stage.wait_event().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -99,12 +99,12 @@
         );
     }
 
-    /// Logs that a silent endpoint is waited for again; `has_input` tells whether it goes on.
-    pub(super) fn log_resumed(&self, endpoint: &EndpointId, has_input: bool) {
+    /// Logs that a silent endpoint is waited for again; `goes_on` tells whether it speaks.
+    pub(super) fn log_resumed(&self, endpoint: &EndpointId, goes_on: bool) {
         info!(
             self.context.logger, "call: going back to the endpoint that was silent";
             "request" => %self.call.metadata.request_id, "endpoint" => %endpoint,
-            "has_input" => has_input,
+            "goes_on" => goes_on,
             "after_ms" => millis(self.now().saturating_sub(self.call.arrived))
         );
     }
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -23,7 +23,7 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1_024;
 
 /// Largest event, in bytes.
-const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+pub(super) const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
 /// Shortest silence between two events after which another endpoint is tried.
 const MIN_STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
@@ -42,19 +42,6 @@
         mut splitter: EventSplitter,
     ) -> Result<(), CallInterrupt> {
         loop {
-            match self.next_step(&mut open, EndpointExchange::read_part).await {
-                Err(reason) => {
-                    let body = AnswerBody::Events(splitter);
-                    let stage = AttemptStage::Answered(AnsweredAttempt { open, head, body });
-                    return Err(self.interrupt_stage(stage, reason));
-                },
-                Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
-                Ok(Ok(None)) if splitter.is_empty() => break,
-                Ok(Ok(None)) => {
-                    return Err(self.end_broken_attempt(open, &ExchangeError::Truncated));
-                },
-                Ok(Ok(Some(part))) => splitter.push(&part),
-            }
             while let Some(event) = splitter.next_event() {
                 open.progress_at = self.now();
                 let is_first = !std::mem::replace(&mut open.has_begun, true);
@@ -76,6 +63,19 @@
                 return Err(self.end_broken_attempt(open, &error.into()));
             }
             self.wait_for_buffer_space().await?;
+            match self.next_step(&mut open, EndpointExchange::read_part).await {
+                Err(reason) => {
+                    let body = AnswerBody::Events(splitter);
+                    let stage = AttemptStage::Answered(AnsweredAttempt { open, head, body });
+                    return Err(self.interrupt_stage(stage, reason));
+                },
+                Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
+                Ok(Ok(None)) if splitter.is_empty() => break,
+                Ok(Ok(None)) => {
+                    return Err(self.end_broken_attempt(open, &ExchangeError::Truncated));
+                },
+                Ok(Ok(Some(part))) => splitter.push(&part),
+            }
         }
         self.finish_stream(open, &head)
     }
--- a/crates/apricotknot-gateway/src/driver/standby.rs
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -9,6 +9,7 @@
 use super::attempt::AttemptFault;
 use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
+use super::attempt::StandbyEvent;
 use super::attempt::WaitInterrupt;
 use super::call_driver::CallDriver;
 use super::call_driver::MAX_SENDS;
@@ -44,7 +45,7 @@
         self.runs += 1;
         let cause = match reason {
             WaitInterrupt::CallerDisconnected => return CallInterrupt::CallerDisconnected,
-            WaitInterrupt::StandbyInput => return CallInterrupt::StandbyInput,
+            WaitInterrupt::StandbyGoesOn => return CallInterrupt::StandbyGoesOn,
             WaitInterrupt::Deadline => "deadline",
             WaitInterrupt::Silence => "silence",
         };
@@ -57,18 +58,18 @@
         }
     }
 
-    /// Returns the attempt that was set aside, as the one in progress, if there is one.
-    pub(super) fn take_standby(&mut self) -> Option<AttemptStage> {
+    /// Returns the attempt that was set aside, as the one in progress, if there is one; `goes_on` tells
+    /// whether its answer goes on.
+    pub(super) fn take_standby(&mut self, goes_on: bool) -> Option<AttemptStage> {
         let mut stage = *self.standby.take()?;
         self.next_grant = None;
         self.runs -= 1;
-        let has_input = std::mem::take(&mut self.has_standby_input);
         let now = self.now();
         let open = stage.open_mut();
-        if has_input {
+        if goes_on {
             open.progress_at = now;
         }
-        self.log_resumed(&open.endpoint, has_input);
+        self.log_resumed(&open.endpoint, goes_on);
         self.endpoint = Some(EndpointId::clone(&open.endpoint));
         Some(stage)
     }
@@ -82,10 +83,13 @@
         }
     }
 
-    /// Ends the attempt that was set aside, as its connection has ended.
-    pub(super) fn end_standby(&mut self) {
+    /// Ends the attempt that was set aside, as it cannot go on.
+    pub(super) fn end_standby(&mut self, event: StandbyEvent) {
+        if event != StandbyEvent::Broken {
+            return self.drop_standby();
+        }
         if let Some(mut stage) = self.standby.take() {
-            self.record_broken(stage.open_mut(), "the connection ended while it was silent");
+            self.record_broken(stage.open_mut(), "the connection broke after a silence");
         }
     }
 }
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -81,10 +81,10 @@
     framing: BodyFraming,
     /// Bytes of the heads that were decoded.
     head_bytes: usize,
-    /// Error of the connection, in either direction, that was not returned yet.
+    /// Error with which the connection took no more of the request.
     ///
     /// The kernel reports a reset once: after the sender was told, the receiver sees an orderly end.
-    failure: Option<io::Error>,
+    send_error: Option<io::Error>,
 }
 
 impl EndpointExchange {
@@ -121,7 +121,7 @@
         let (output, body_left) = encode(&mut codec, head, body)?;
         let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
         let framing = BodyFraming::AwaitingHead(codec);
-        Ok(Self { connection, input, output, body_left, framing, head_bytes: 0, failure: None })
+        Ok(Self { connection, input, output, body_left, framing, head_bytes: 0, send_error: None })
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -142,19 +142,6 @@
         poll_fn(|context| self.poll_part(context)).await
     }
 
-    /// Waits for more of the answer without decoding it; returns `false` if the connection has ended.
-    pub async fn wait_input(&mut self) -> bool {
-        poll_fn(|context| {
-            let _ = self.poll_send(context);
-            let has_input = ready!(self.poll_receive(context)).unwrap_or_else(|error| {
-                self.failure.get_or_insert(error);
-                false
-            });
-            Poll::Ready(has_input)
-        })
-        .await
-    }
-
     /// Returns the node that relays the connection, if one does.
     pub fn relayed_by(&self) -> Option<&NodeId> {
         self.connection.relayed_by()
@@ -170,11 +157,11 @@
             }
             // An endpoint may answer and close before it has read the whole request.
             let _ = self.poll_send(context);
-            match self.poll_receive(context).map_err(ExchangeError::Broken)? {
+            match self.poll_receive(context)? {
                 Poll::Ready(true) => {},
                 Poll::Ready(false) => return Poll::Ready(Err(ExchangeError::Truncated)),
                 Poll::Pending => {
-                    let error = self.failure.take();
+                    let error = self.send_error.take();
                     return error.map_or(Poll::Pending, |error| {
                         Poll::Ready(Err(ExchangeError::Broken(error)))
                     });
@@ -236,7 +223,7 @@
                 },
             }
             let sending = self.poll_send(context);
-            if ready!(self.poll_receive(context)).map_err(ExchangeError::Broken)? {
+            if ready!(self.poll_receive(context))? {
                 continue;
             }
             if !matches!(self.framing, BodyFraming::UntilClose) {
@@ -244,7 +231,7 @@
             }
             // Only an end of the connection on which nothing has failed is the end of the answer.
             ready!(sending);
-            if let Some(error) = self.failure.take() {
+            if let Some(error) = self.send_error.take() {
                 return Poll::Ready(Err(ExchangeError::Broken(error)));
             }
             self.framing = BodyFraming::Complete;
@@ -252,9 +239,9 @@
         }
     }
 
-    /// Sends more of the request; ready once all of it is sent, or [`Self::failure`] is set.
+    /// Sends more of the request; ready once all of it is sent, or [`Self::send_error`] is set.
     fn poll_send(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.failure.is_none() {
+        while self.send_error.is_none() {
             let is_body = self.output.is_empty();
             let bytes: &[u8] = if is_body { &self.body_left } else { &self.output };
             if bytes.is_empty() {
@@ -263,17 +250,17 @@
             match ready!(Pin::new(&mut self.connection).poll_write(context, bytes)) {
                 Ok(count) if is_body => self.body_left.advance(count),
                 Ok(count) => self.output.advance(count),
-                Err(error) => self.failure = Some(error),
+                Err(error) => self.send_error = Some(error),
             }
         }
         Poll::Ready(())
     }
 
     /// Reads more input; returns `false` if the connection has ended.
-    fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+    fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<Result<bool, ExchangeError>> {
         self.input.reserve(READ_CHUNK_BYTES);
         let read = poll_read_buf(Pin::new(&mut self.connection), context, &mut self.input);
-        read.map_ok(|count| count > 0)
+        read.map(|result| result.map(|count| count > 0).map_err(ExchangeError::Broken))
     }
 }
 
