answers: their memory counts until the caller has read them; without memory they are forwarded as it reads

Cause: the memory of an answer was given back as soon as it lay in the output buffer of the connection, which may take two minutes to write; the buffer copied the whole answer and kept its size. Streams counted only what no whole event had come of. Ruled out: the budget is too large (32 MiB of 260 MB held). Change: the connection keeps the memory until it has written; long answers are encoded 64 KiB at a time; streams count what waits. With the budget spent, an answer is forwarded as its caller reads, the rest waits at the endpoint (driver/unbuffered_relay.rs), where it was broken off before. The budget is a fifth of the machine's memory, 32 MB at 160 MB.

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use actix_codec::Framed;
@@ -32,6 +33,7 @@
 use super::ConnectionError;
 use super::IncomingRequest;
 use super::caller_codec::CallerCodec;
+use crate::endpoint::AnswerMemory;
 use crate::intake::IntakeConnection;
 
 /// Bytes of a header line beside its name and value: a colon, a space and the line end.
@@ -61,6 +63,9 @@
 /// Memory that is taken first for a body, in bytes, if it is not known to be smaller.
 const FIRST_BODY_BYTES: usize = 16 * 1_024;
 
+/// Bytes of a long part of an answer's body that are encoded at a time.
+const ENCODED_BYTES: usize = 64 * 1_024;
+
 /// Bytes of input that are discarded at a time.
 const DISCARD_CHUNK_BYTES: usize = 16 * 1_024;
 
@@ -71,6 +76,10 @@
     /// Request that arrived before the answer to the previous one was complete.
     pipelined: Option<Request>,
     buffered_bytes: usize,
+    /// Rest of a long part of the answer's body, which is encoded as the caller reads.
+    unencoded: Bytes,
+    /// Memory of the answer that is being written.
+    answer_memory: Option<AnswerMemory>,
     has_unread_input: bool,
     /// Whether a later request has a head that is too large; nothing more is read then.
     is_input_refused: bool,
@@ -90,6 +99,8 @@
             intake,
             pipelined: None,
             buffered_bytes: 0,
+            unencoded: Bytes::new(),
+            answer_memory: None,
             has_unread_input: false,
             is_input_refused: false,
             is_closing: false,
@@ -175,10 +186,25 @@
     ) -> Result<(), ConnectionError> {
         let size = BodySize::Sized(u64::try_from(body.len()).unwrap_or(u64::MAX));
         self.begin_answer(head, size)?;
-        if body.is_empty() {
-            return Ok(());
-        }
-        self.write_part(body)
+        self.write_long_part(body)
+    }
+
+    /// Adds a long part of the answer's body, of which the output buffer takes a little at a time.
+    ///
+    /// Nothing may be written after it until it is flushed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the part cannot be encoded.
+    pub fn write_long_part(&mut self, part: Bytes) -> Result<(), ConnectionError> {
+        self.buffered_bytes += part.len();
+        self.unencoded = part;
+        self.encode_next()
+    }
+
+    /// Keeps the memory of an answer until the caller has read what is buffered of it.
+    pub fn hold_memory(&mut self, memory: AnswerMemory) {
+        self.answer_memory = Some(memory).filter(|_| self.buffered_bytes > 0);
     }
 
     /// Aborts an incomplete answer: the connection is closed without the end of the body, so that
@@ -188,6 +214,7 @@
         self.has_unread_input = false;
         // The caller need not read the rest of an answer that is of no use to it.
         self.buffered_bytes = 0;
+        self.unencoded.clear();
     }
 
     /// Closes the connection after the next answer, and announces it in the answer's head.
@@ -393,13 +420,29 @@
         Pin::new(&mut self.framed).write(message).map_err(|_| ConnectionError::Closed)
     }
 
+    /// Encodes the next bytes of a long part, if there is one.
+    ///
+    /// The output buffer copies what is encoded, and keeps its size.
+    fn encode_next(&mut self) -> Result<(), ConnectionError> {
+        let length = self.unencoded.len().min(ENCODED_BYTES);
+        match self.unencoded.split_to(length) {
+            part if part.is_empty() => Ok(()),
+            part => self.encode(Message::Chunk(Some(part))),
+        }
+    }
+
     fn poll_flush(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ConnectionError>> {
-        let flushed =
-            Pin::new(&mut self.framed).flush::<Message<(Response<()>, BodySize)>>(context);
-        flushed.map(|result| {
-            self.buffered_bytes = 0;
-            result.map_err(|_| ConnectionError::Closed)
-        })
+        loop {
+            let flushed =
+                Pin::new(&mut self.framed).flush::<Message<(Response<()>, BodySize)>>(context);
+            let flushed = ready!(flushed).map_err(|_| ConnectionError::Closed);
+            if flushed.is_err() || self.unencoded.is_empty() {
+                self.buffered_bytes = 0;
+                self.answer_memory = None;
+                return Poll::Ready(flushed);
+            }
+            self.encode_next()?;
+        }
     }
 
     fn poll_closed(&mut self, context: &mut Context<'_>) -> Poll<()> {
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -204,6 +204,8 @@
     CallerDisconnected,
     /// The deadline of the call has passed.
     Deadline,
+    /// The answer broke off after a part of it was forwarded that no other attempt can continue.
+    Truncated,
     /// The attempt is silent and was set aside; another endpoint is tried beside it.
     SetAside,
     /// The attempt that was set aside goes on, and this one is given up for it.
--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -14,8 +14,8 @@
 use crate::endpoint::ExchangeError;
 use crate::protocol::CallProtocol;
 
-/// Largest body that is buffered until it is complete, in bytes.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
+/// Largest body of an answer that is no stream, in bytes.
+pub(super) const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
 impl<P: CallProtocol> CallDriver<'_, P> {
     /// Reads an answer to its end, then forwards it.
@@ -36,13 +36,18 @@
                     return Err(self.interrupt_stage(stage, reason));
                 },
                 Ok(Err(error)) => return Err(self.end_broken_attempt(open, &error)),
-                Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_BUFFERED_ANSWER_BYTES => {
+                Ok(Ok(Some(part))) if body.len() + part.len() <= MAX_ANSWER_BYTES => {
                     let held = fallback_bytes + body.len() + part.len();
-                    if let Err(error) = self.answer_memory.set_held(held) {
-                        return Err(self.end_broken_attempt(open, &error.into()));
-                    }
+                    let has_memory = self.answer_memory.set_held(held);
                     open.progress_at = self.now();
                     body.extend_from_slice(&part);
+                    match has_memory {
+                        Ok(()) => {},
+                        Err(error) if head.status.is_server_error() => {
+                            return Err(self.end_broken_attempt(open, &error.into()));
+                        },
+                        Err(_) => return self.relay_unbuffered(open, head, body).await,
+                    }
                 },
                 Ok(Ok(Some(_))) => {
                     return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -128,6 +128,7 @@
         self.drop_standby();
         let outcome = self.answer_caller(outcome).await;
         self.record_outcome(&outcome);
+        self.connection.hold_memory(self.answer_memory);
         outcome
     }
 
@@ -149,6 +150,7 @@
             match interrupt {
                 CallInterrupt::CallerDisconnected => return CallOutcome::CallerDisconnected,
                 CallInterrupt::Deadline => return self.deadline_outcome(),
+                CallInterrupt::Truncated => return CallOutcome::Truncated,
                 CallInterrupt::SetAside => {},
                 CallInterrupt::StandbyGoesOn => resumed = self.take_standby(true),
                 CallInterrupt::Attempt(fault) => {
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -13,6 +13,7 @@
 use super::attempt::OpenAttempt;
 use super::call_driver::CallDriver;
 use crate::caller::remove_hop_by_hop_headers;
+use crate::endpoint::AnswerBudgetError;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
@@ -59,10 +60,9 @@
             if splitter.len() > MAX_EVENT_BYTES {
                 return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
             }
-            if let Err(error) = self.answer_memory.set_held(splitter.len()) {
+            if let Err(error) = self.bound_buffers(splitter.len()).await? {
                 return Err(self.end_broken_attempt(open, &error.into()));
             }
-            self.wait_for_buffer_space().await?;
             match self.next_step(&mut open, EndpointExchange::read_part).await {
                 Err(reason) => {
                     let body = AnswerBody::Events(splitter);
@@ -111,11 +111,25 @@
         begun.map_err(|_| CallInterrupt::CallerDisconnected)
     }
 
-    /// Waits until the caller has read the buffered output, if there is too much of it.
-    async fn wait_for_buffer_space(&mut self) -> Result<(), CallInterrupt> {
-        if self.connection.buffered_bytes() < MAX_BUFFERED_BYTES {
-            return Ok(());
+    /// Counts what is buffered of a stream, and waits until the caller has read it if it is too much.
+    ///
+    /// `unforwarded` is the length of what no whole event has come of yet. Returns an error if there
+    /// is no memory even for that.
+    async fn bound_buffers(
+        &mut self,
+        unforwarded: usize,
+    ) -> Result<Result<(), AnswerBudgetError>, CallInterrupt> {
+        let buffered = self.connection.buffered_bytes();
+        let has_memory = self.answer_memory.set_held(unforwarded + buffered).is_ok();
+        if has_memory && buffered < MAX_BUFFERED_BYTES {
+            return Ok(Ok(()));
         }
+        self.flush_until_deadline().await?;
+        Ok(self.answer_memory.set_held(unforwarded))
+    }
+
+    /// Waits until the caller has read what is buffered.
+    pub(super) async fn flush_until_deadline(&mut self) -> Result<(), CallInterrupt> {
         let left = self.call.deadline.saturating_sub(self.now());
         match tokio::time::timeout(left, self.connection.flush()).await {
             Ok(Ok(())) => Ok(()),
--- a/crates/apricotknot-gateway/src/driver/mod.rs
+++ b/crates/apricotknot-gateway/src/driver/mod.rs
@@ -16,6 +16,7 @@
 mod reservation;
 mod session;
 mod standby;
+mod unbuffered_relay;
 mod usage_count;
 
 pub use admitted_call::AdmittedCall;
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -44,8 +44,8 @@
 /// Most established connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
-/// Memory that long answers may occupy together, in bytes; the smallest VMs have 160 MB.
-const MAX_ANSWER_MEMORY_BYTES: usize = 32 * 1_024 * 1_024;
+/// Part of the machine's memory that long answers may occupy until callers have read them.
+const ANSWER_MEMORY_DIVISOR: usize = 5;
 
 /// Part of the machine's memory that requests of callers may hold while they arrive and run.
 const REQUEST_MEMORY_DIVISOR: usize = 5;
@@ -157,7 +157,7 @@
             shared,
             control,
             clock: BootClock,
-            answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
+            answer_budget: Arc::new(AnswerBudget::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR)),
             metrics,
             logger,
         };
