intake: requests that wait for an endpoint give way when no connection is left; a full node is not ready

Cause: requests that wait for an engine counted as running ones and kept their connections until their deadlines; readiness did not know of the interface. Ruled out: the control thread is overloaded (connections waited in the socket's backlog, and were served at once afterwards). Change: IntakeTable::queue; of the requests that have waited for 200 ms the largest, and of equal ones the last, gives way if no client is stalled: 503, not run, come back after 1 s. /readyz is 503 after half a second without room for callers.

--- a/crates/apricotknot-core/src/intake/intake_limits.rs
+++ b/crates/apricotknot-core/src/intake/intake_limits.rs
@@ -5,6 +5,9 @@
 /// Time without sufficient progress after which a client may have to give way.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which a request has waited for an endpoint before it may have to give way.
+const QUEUE_TIME: Duration = Duration::from_millis(200);
+
 /// Bytes that have to arrive within the stall time, or the client counts as stalled.
 const LEAST_PROGRESS_BYTES: usize = 4 * 1_024;
 
@@ -25,13 +28,15 @@
     pub stall_time: Duration,
     /// Bytes that have to arrive within the stall time.
     pub least_progress: usize,
+    /// Time for which a request has waited for an endpoint before it may have to give way.
+    pub queue_time: Duration,
 }
 
 impl IntakeLimits {
     /// Creates limits with the usual demands on progress.
     pub fn new(memory_bytes: usize, connections: usize) -> Self {
         let (stall_time, least_progress) = (STALL_TIME, LEAST_PROGRESS_BYTES);
-        Self { memory_bytes, connections, stall_time, least_progress }
+        Self { memory_bytes, connections, stall_time, least_progress, queue_time: QUEUE_TIME }
     }
 
     /// Sets the time without sufficient progress after which a client may have to give way.
--- a/crates/apricotknot-core/src/intake/intake_table.rs
+++ b/crates/apricotknot-core/src/intake/intake_table.rs
@@ -36,6 +36,13 @@
 enum IntakePhase {
     /// Waits for the client to send a request, or the rest of one.
     Receiving,
+    /// Its request waits for an endpoint.
+    Queued {
+        /// Size of the request; larger ones give way first.
+        size: u64,
+        /// When it began to wait.
+        since: MonotonicTime,
+    },
     /// Runs a request or sends its answer; it keeps what it holds.
     Serving,
     /// Has been told to give way, and is about to close.
@@ -101,14 +108,16 @@
     /// Makes room for a connection; returns one that has to close for it, if there is one.
     ///
     /// The client that has been stalled longest gives way, before all one that has sent no whole
-    /// request yet.
+    /// request yet. If none is stalled, a request that waits for an endpoint does: the largest one, and
+    /// of equal ones the one that came last, which would be served last.
     pub fn make_room(&mut self, now: MonotonicTime) -> Option<IntakeId> {
         if self.remaining() < self.limits.connections || self.entries.len() >= self.most_open() {
             return None;
         }
         let stalled = self.stalled(now);
-        let (id, _, _) =
-            stalled.max_by_key(|(id, entry, time)| (!entry.has_served, *time, Reverse(*id)))?;
+        let stalled =
+            stalled.max_by_key(|(id, entry, time)| (!entry.has_served, *time, Reverse(*id)));
+        let id = stalled.map(|(id, _, _)| id).or_else(|| self.last_queued(now))?;
         self.dismiss(id);
         Some(id)
     }
@@ -162,6 +171,16 @@
         }
     }
 
+    /// Records that a request of the given size waits for an endpoint from `now` on.
+    ///
+    /// It may have to give way until [`IntakeTable::serve`] is called for it.
+    pub fn queue(&mut self, id: IntakeId, size: u64, now: MonotonicTime) {
+        let serving = self.entries.get_mut(&id).filter(|entry| entry.phase == IntakePhase::Serving);
+        if let Some(entry) = serving {
+            entry.phase = IntakePhase::Queued { size, since: now };
+        }
+    }
+
     /// Records that a request has arrived, and is about to run; returns whether it may.
     pub fn serve(&mut self, id: IntakeId) -> bool {
         let Some(entry) = self.entries.get_mut(&id) else { return false };
@@ -177,7 +196,7 @@
         let Some(entry) = self.entries.get_mut(&id) else { return };
         self.used -= std::mem::take(&mut entry.held);
         entry.restart(now);
-        if entry.phase == IntakePhase::Serving {
+        if entry.phase != IntakePhase::Closing {
             entry.phase = IntakePhase::Receiving;
         }
     }
@@ -237,6 +256,18 @@
         })
     }
 
+    /// Returns the connection whose request would be served last of those that wait for an endpoint.
+    ///
+    /// One that has only begun to wait may find an endpoint at once.
+    fn last_queued(&self, now: MonotonicTime) -> Option<IntakeId> {
+        let queued = self.entries.iter().filter_map(|(id, entry)| match entry.phase {
+            IntakePhase::Queued { size, since } => Some((size, since, *id)),
+            _ => None,
+        });
+        let (_, since, id) = queued.max()?;
+        (now >= since + self.limits.queue_time).then_some(id)
+    }
+
     /// Returns the connections that give back at least `bytes` bytes for `id`, or `None` if the
     /// stalled ones hold less.
     fn victims_for(&self, id: IntakeId, bytes: usize, now: MonotonicTime) -> Option<Vec<IntakeId>> {
--- a/crates/apricotknot-core/tests/intake.rs
+++ b/crates/apricotknot-core/tests/intake.rs
@@ -126,3 +126,53 @@
     assert_eq!(table.make_room(at(999)), None);
     assert!(table.make_room(at(1_000)).is_some());
 }
+
+/// Opens a connection whose request of `size` waits for an endpoint from `now` on.
+fn queue(table: &mut IntakeTable, size: u64, now: Duration) -> IntakeId {
+    let id = table.open(now);
+    assert!(table.serve(id));
+    table.queue(id, size, now);
+    id
+}
+
+/// Guards against a table full of waiting requests that takes no client: the one that would be served
+/// last gives way, and one that runs never does.
+#[test]
+fn waiting_request_that_would_be_served_last_gives_way() {
+    let mut table = table();
+    let running = table.open(at(0));
+    assert!(table.serve(running));
+    let short = queue(&mut table, 5_000, at(0));
+    let first_long = queue(&mut table, 100_000, at(100));
+    let last_long = queue(&mut table, 100_000, at(200));
+    assert_eq!(table.make_room(at(300)), None, "it has only begun to wait");
+    assert_eq!(table.make_room(at(400)), Some(last_long));
+    assert_eq!(table.make_room(at(400)), None, "one connection is about to close already");
+    assert!(!table.serve(last_long), "what gave way does not run");
+    table.close(last_long);
+    let next = table.open(at(500));
+    assert!(table.serve(next));
+    assert!(table.serve(first_long), "it has found an endpoint");
+    assert_eq!(table.make_room(at(600)), Some(short));
+    table.close(short);
+    let other = table.open(at(700));
+    assert!(table.serve(other));
+    assert_eq!(table.make_room(at(5_000)), None, "requests that run keep their connections");
+}
+
+#[test]
+fn stalled_clients_give_way_before_waiting_requests() {
+    let mut table = table();
+    let waiting = queue(&mut table, 100_000, at(0));
+    let silent = table.open(at(500));
+    for _ in 0..2 {
+        let running = table.open(at(600));
+        assert!(table.serve(running));
+    }
+    assert_eq!(table.make_room(at(2_000)), Some(silent));
+    table.close(silent);
+    assert!(table.serve(waiting));
+    table.finish(waiting, at(2_100));
+    table.queue(waiting, 100_000, at(2_100));
+    assert_eq!(table.make_room(at(2_200)), None, "a client without a request does not wait");
+}
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -132,6 +132,17 @@
         Ok(IncomingRequest { head, body })
     }
 
+    /// Records that the request, of the given size, waits for an endpoint; from then on it may have to
+    /// give way to other callers.
+    pub fn queue(&self, size: u64) {
+        self.intake.queue(size);
+    }
+
+    /// Records that the request waits no longer; returns whether it may run, or has to give way.
+    pub fn leave_queue(&self) -> bool {
+        self.intake.serve()
+    }
+
     /// Gives back the memory of the request that was answered.
     pub fn finish_request(&mut self) {
         self.intake.finish();
@@ -244,7 +255,8 @@
 
     /// Writes the buffered output, and returns only when the caller has closed the connection.
     ///
-    /// Also returns if the connection breaks or the caller sends bytes that are not a request. A
+    /// Also returns if the connection breaks, the caller sends bytes that are not a request, or a
+    /// request that waits for an endpoint has to give way. A
     /// pipelined request is kept for the next call of [`CallerConnection::read_request`]; from then
     /// on a close is noticed only if writing fails.
     pub async fn wait_closed(&mut self) {
@@ -446,7 +458,8 @@
     }
 
     fn poll_closed(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        if matches!(self.poll_flush(context), Poll::Ready(Err(_))) {
+        let is_broken = matches!(self.poll_flush(context), Poll::Ready(Err(_)));
+        if is_broken || self.intake.poll_gave_way(context).is_ready() {
             return Poll::Ready(());
         }
         if self.pipelined.is_some() || self.is_input_refused {
--- a/crates/apricotknot-gateway/src/driver/call_fault.rs
+++ b/crates/apricotknot-gateway/src/driver/call_fault.rs
@@ -21,8 +21,9 @@
 /// Retry delay that callers are given by a stopping node; another node accepts requests by then.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Retry delay that callers are given if there is no memory; stalled requests give way by then.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay that callers are given if there is no memory or no connection for them; stalled
+/// requests give way by then.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Reports why a call is answered by the gateway and not by an endpoint.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -68,6 +69,9 @@
         /// Time after which the caller should try again.
         retry_after: Duration,
     },
+    /// The request waited for an endpoint, and its connection is needed for others.
+    #[error("not run: this node has no connection for requests that wait; send it again later")]
+    GaveWay,
     /// The deadline passed before the request was sent to an endpoint.
     #[error("not run: time ran out before an endpoint had room")]
     LateUnsent,
@@ -111,6 +115,7 @@
             Self::OutdatedKey => "outdated_key",
             Self::Stopping => "stopping",
             Self::Refused { .. } => "refused",
+            Self::GaveWay => "gave_way",
             Self::LateUnsent => "late_unsent",
             Self::LateSent => "late_sent",
             Self::Lost => "lost",
@@ -131,6 +136,7 @@
             | Self::OutdatedKey
             | Self::Stopping
             | Self::Refused { .. }
+            | Self::GaveWay
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::LateSent => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -162,7 +168,7 @@
         let after = match self {
             Self::Unready | Self::OutdatedKey | Self::LateUnsent => UNREADY_RETRY_AFTER,
             Self::Stopping => STOPPING_RETRY_AFTER,
-            Self::NoMemory => NO_MEMORY_RETRY_AFTER,
+            Self::NoMemory | Self::GaveWay => CROWDED_RETRY_AFTER,
             Self::Refused { retry_after, .. } => *retry_after,
             _ => return None,
         };
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -27,7 +27,17 @@
             return Ok(grant);
         }
         let reply = self.context.control.place(self.placement_request(true));
-        match self.unless_interrupted(reply, None).await {
+        // Only a call that has not run can be refused as one.
+        let may_give_way = !self.has_run();
+        if may_give_way {
+            self.connection.queue(self.call.metadata.size.memory());
+        }
+        let placed = self.unless_interrupted(reply, None).await;
+        if may_give_way && !self.connection.leave_queue() {
+            self.connection.close_after_answer();
+            return Err(CallOutcome::Fault(CallFault::GaveWay));
+        }
+        match placed {
             Err(WaitInterrupt::CallerDisconnected) => Err(CallOutcome::CallerDisconnected),
             Err(_) => Err(self.deadline_outcome()),
             Ok(Ok(Ok(grant))) => {
--- a/crates/apricotknot-gateway/src/gateway_node.rs
+++ b/crates/apricotknot-gateway/src/gateway_node.rs
@@ -157,13 +157,15 @@
             shared,
             control,
             clock: BootClock,
-            answer_budget: Arc::new(AnswerBudget::new(settings.memory_bytes / ANSWER_MEMORY_DIVISOR)),
+            answer_budget: Arc::new(AnswerBudget::new(
+                settings.memory_bytes / ANSWER_MEMORY_DIVISOR,
+            )),
             metrics,
             logger,
         };
         let node = Self { context, stop_timeout };
-        node.serve_callers(callers, intake.callers);
-        node.serve_operations(operations, intake.operations);
+        node.serve_callers(callers, Arc::clone(&intake.callers));
+        node.serve_operations(operations, intake.operations, intake.callers);
         node.serve_peers(peers, intake.peers);
         Ok(node)
     }
@@ -211,10 +213,15 @@
         });
     }
 
-    fn serve_operations(&self, listener: TcpListener, intake: Arc<IntakeControl>) {
+    fn serve_operations(
+        &self,
+        listener: TcpListener,
+        intake: Arc<IntakeControl>,
+        callers: Arc<IntakeControl>,
+    ) {
         let context = self.context.clone();
         accept_connections(listener, intake, context.logger.clone(), move |stream, intake| {
-            OperationsSession::new(context.clone(), stream, intake).run()
+            OperationsSession::new(context.clone(), stream, intake, Arc::clone(&callers)).run()
         });
     }
 
--- a/crates/apricotknot-gateway/src/intake/intake_connection.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_connection.rs
@@ -48,9 +48,15 @@
         self.control.update(|table, now| table.record(self.id, bytes, now));
     }
 
-    /// Records that the request has arrived; returns whether it may run.
+    /// Records that the request, of the given size, waits for an endpoint; it may have to give way.
+    pub fn queue(&self, size: u64) {
+        self.control.update(|table, now| table.queue(self.id, size, now));
+    }
+
+    /// Records that the request has arrived, or waits no longer; returns whether it may run.
     ///
-    /// From then on the connection gives way to none, until [`IntakeConnection::finish`].
+    /// From then on the connection gives way to none, until [`IntakeConnection::queue`] or
+    /// [`IntakeConnection::finish`].
     pub fn serve(&self) -> bool {
         self.control.update(|table, _| table.serve(self.id))
     }
--- a/crates/apricotknot-gateway/src/intake/intake_control.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_control.rs
@@ -49,6 +49,8 @@
 pub(super) struct IntakeState {
     pub(super) table: IntakeTable,
     signals: HashMap<IntakeId, Arc<GiveWaySignal>>,
+    /// Time since which there is no room for a connection, and none gives way.
+    full_since: Option<MonotonicTime>,
     reported_at: Option<MonotonicTime>,
     unreported: UnreportedCounts,
 }
@@ -75,6 +77,7 @@
         let state = IntakeState {
             table: IntakeTable::new(limits),
             signals: HashMap::new(),
+            full_since: None,
             reported_at: None,
             unreported: UnreportedCounts::default(),
         };
@@ -105,7 +108,15 @@
         let mut state = self.state();
         let victim = state.table.make_room(now);
         self.dismiss(&mut state, victim.as_slice(), now);
-        state.table.has_room()
+        let has_room = state.table.has_room();
+        state.full_since = (!has_room).then(|| state.full_since.unwrap_or(now));
+        has_room
+    }
+
+    /// Returns for how long no connection could be accepted.
+    pub fn full_time(&self) -> Duration {
+        let full_since = self.state().full_since;
+        full_since.map_or(Duration::ZERO, |since| self.clock.now().saturating_sub(since))
     }
 
     pub(super) fn grow(&self, id: IntakeId, held: usize) -> Result<(), IntakeRefusal> {
--- a/crates/apricotknot-gateway/src/operations.rs
+++ b/crates/apricotknot-gateway/src/operations.rs
@@ -1,5 +1,8 @@
 //! HTTP interface for the balancer and for operators: readiness, duties, usage and metrics.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
 use actix_rt::net::TcpStream;
@@ -9,15 +12,21 @@
 use crate::caller::CallerConnection;
 use crate::driver::TrafficContext;
 use crate::intake::IntakeConnection;
+use crate::intake::IntakeControl;
 use crate::protocol::CallProtocol;
 
 /// Largest body of a request, in bytes; no request of this interface needs one.
 const MAX_BODY_BYTES: usize = 4 * 1_024;
 
+/// Time without room for a caller after which the node is not ready.
+const MAX_FULL_TIME: Duration = Duration::from_millis(500);
+
 /// Serves one connection of the balancer or of an operator.
 pub(crate) struct OperationsSession<P> {
     context: TrafficContext<P>,
     connection: CallerConnection,
+    /// Connections of callers, for which a ready node has room.
+    callers: Arc<IntakeControl>,
 }
 
 impl<P: CallProtocol> OperationsSession<P> {
@@ -26,9 +35,10 @@
         context: TrafficContext<P>,
         stream: TcpStream,
         intake: IntakeConnection,
+        callers: Arc<IntakeControl>,
     ) -> Self {
         let connection = CallerConnection::new(stream, &context.http, intake);
-        Self { context, connection }
+        Self { context, connection, callers }
     }
 
     /// Answers requests until the connection is closed.
@@ -48,11 +58,15 @@
         self.connection.close().await;
     }
 
+    /// Returns whether the balancer should send new connections to this node.
+    fn is_ready(&self) -> bool {
+        self.context.shared.is_ready(self.context.clock.now())
+            && self.callers.full_time() < MAX_FULL_TIME
+    }
+
     fn answer(&self, path: &str) -> (StatusCode, Bytes) {
         match path {
-            "/readyz" if self.context.shared.is_ready(self.context.clock.now()) => {
-                (StatusCode::OK, Bytes::from_static(b"ready\n"))
-            },
+            "/readyz" if self.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
             "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
             "/duties" => {
                 let duties = serde_json::to_vec(&self.context.shared.duties());
--- a/crates/apricotknot/tests/crowds_gateway.rs
+++ b/crates/apricotknot/tests/crowds_gateway.rs
@@ -32,6 +32,7 @@
 use gateway_fleet::KEY;
 use gateway_fleet::lookup_request;
 use gateway_fleet::order_request;
+use gateway_fleet::stream_request;
 
 /// Clients that send bodies.
 const SENDERS: usize = 64;
@@ -39,6 +40,9 @@
 /// Clients that hold a connection each.
 const HOLDERS: usize = 400;
 
+/// Prompt of which an engine holds one at a time, in tokens.
+const LONG_PROMPT: u64 = 60_000;
+
 /// Descriptors of a node in front of clients that hold connections.
 const FEW_DESCRIPTORS: usize = 256;
 
@@ -286,6 +290,21 @@
     check_holders("crowd-drip", |fleet| fleet.nodes[0].caller_address, slow_body());
 }
 
+/// Guards against a node that says it is ready and takes no client, as prompts that wait for an engine
+/// hold all connections until their deadlines.
+#[test]
+fn prompts_that_wait_on_all_descriptors() {
+    let _only = be_only_crowd();
+    let mut fleet = start_fleet("crowd-waiting");
+    fleet.nodes[0].restart_with_descriptors(FEW_DESCRIPTORS);
+    for engine in &fleet.engines {
+        engine.set_fault(EndpointFault::Silent);
+    }
+    let callers = fleet.nodes[0].caller_address;
+    let script = ClientScript::start(stream_request("crowd-CLIENT", LONG_PROMPT));
+    check_crowd_at(&mut fleet, callers, HOLDERS, &[script]);
+}
+
 #[test]
 fn connections_of_the_operations_address_that_say_nothing() {
     check_holders("crowd-operations", |fleet| fleet.nodes[0].operations_address, silent());
