placement: a long prompt behind far more than is read in its time is refused as it arrives

Change: core wait_forecast::refuse_hopeless, by a lower bound: the prompts that wait at this node for the same endpoints, are older and no larger, read by all of them at full speed, against twice the time that is left and 2 s. Refused: not run, come back after the excess. Result: fleet_placement::prompt_behind_more_than_is_read_in_time_is_refused_at_once, control_state::long_prompts_beyond_what_is_read_in_ time_do_not_wait (new; of 2,000 prompts over 1,500 are refused at once).

--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 mod retry_limiter;
 mod shared_rate;
 mod stated_rate;
+mod wait_forecast;
 mod work;
 
 pub use crash_history::CrashHistory;
@@ -79,6 +80,7 @@
 pub use stated_rate::RateStatement;
 pub use stated_rate::StatedRate;
 pub use stated_rate::StatementId;
+pub use wait_forecast::refuse_hopeless;
 pub use work::RequestSize;
 pub use work::WorkItem;
 pub use work::WorkPhase;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -65,7 +65,7 @@
 const UNCROWDED_FRACTION: f64 = 0.6;
 
 /// Retry delay that is sent to a caller when no endpoint had room in time.
-const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
+pub(super) const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
 
 /// Retry delay that is sent to a caller whose request exceeds the memory of all endpoints together.
 const TOO_LARGE_RETRY: Duration = Duration::from_secs(10);
@@ -76,7 +76,7 @@
 /// Minimum length of a long prompt, in tokens.
 ///
 /// A long prompt may wait until it can be answered on time.
-const LONG_PROMPT_TOKENS: TokenCount = 24_000;
+pub(super) const LONG_PROMPT_TOKENS: TokenCount = 24_000;
 
 /// Describes the request to be placed.
 #[derive(Clone, Debug)]
@@ -198,7 +198,11 @@
 }
 
 /// Returns whether an endpoint may run the request, regardless of its load and its health.
-fn is_eligible(fleet: &FleetState, state: &EndpointState, query: &PlacementQuery) -> bool {
+pub(super) fn is_eligible(
+    fleet: &FleetState,
+    state: &EndpointState,
+    query: &PlacementQuery,
+) -> bool {
     let entry = &state.entry;
     let is_allowed_region = query.regions.as_ref().is_none_or(|regions| {
         fleet.region(&entry.data_centre).is_some_and(|region| regions.contains(region))
@@ -358,7 +362,7 @@
 /// Returns the time after which a request no longer waits for room.
 ///
 /// A long prompt may wait as long as its answer can still be completed before the deadline.
-fn wait_deadline(query: &PlacementQuery, engine: Option<&EngineModel>) -> MonotonicTime {
+pub(super) fn wait_deadline(query: &PlacementQuery, engine: Option<&EngineModel>) -> MonotonicTime {
     if query.size.prompt < LONG_PROMPT_TOKENS {
         return (query.arrived + query.target_latency * SHORT_WAIT_FACTOR).min(query.deadline);
     }
--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -10,9 +10,11 @@
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::PlacementDecision;
 use apricotknot_core::fleet::PlacementPlan;
+use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::place;
+use apricotknot_core::fleet::refuse_hopeless;
 
 use fleet_simulation::ARCHIVE;
 use fleet_simulation::FleetSimulation;
@@ -255,3 +257,30 @@
     let tickets = simulation.outcomes("ticket");
     assert!(tickets.on_time_rate() >= 0.9, "{tickets:?}");
 }
+
+/// Guards against prompts that wait for seconds and are refused in the end, as far more wait before
+/// them than the engines read: such a prompt is refused as it arrives, and no other one is.
+#[test]
+fn prompt_behind_more_than_is_read_in_time_is_refused_at_once() {
+    let fleet_state = fleet_state(4);
+    let request = query(&ARCHIVE, NOW);
+    let tokens_per_second = model().prefill_rate * 1e3 * 4.0;
+    let most = (request.deadline - NOW).as_secs_f64() * tokens_per_second;
+    let refuse = |request: &PlacementQuery, ahead: f64| {
+        refuse_hopeless(&fleet_state, request, ahead as u64, NOW)
+    };
+    assert_eq!(refuse(&request, 0.0), None);
+    assert_eq!(refuse(&request, most / 3.0), None, "all of it can be read in time");
+    let Some(PlacementDecision::Refuse { retry_after, .. }) = refuse(&request, most * 3.0) else {
+        panic!("more wait before it than is read in time");
+    };
+    assert!(retry_after > Duration::from_secs(1) && retry_after <= Duration::from_secs(10));
+    assert!(matches!(refuse(&request, f64::MAX), Some(PlacementDecision::Refuse { .. })));
+    assert_eq!(refuse(&query(&TICKET, NOW), most * 3.0), None, "short requests do not wait");
+    let mut hurried = query(&ARCHIVE, NOW);
+    hurried.deadline = NOW;
+    assert_eq!(refuse(&hurried, 1e6), None, "it is tried before those that wait");
+    let mut elsewhere = query(&ARCHIVE, NOW);
+    elsewhere.service = "unknown".into();
+    assert_eq!(refuse(&elsewhere, most * 3.0), None);
+}
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -10,6 +10,7 @@
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::place;
+use apricotknot_core::fleet::refuse_hopeless;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::MonotonicTime;
 
@@ -60,7 +61,13 @@
             let unreached = std::mem::take(&mut waiting.request.unreached);
             waiting.request.query.excluded.extend(unreached);
         }
-        let position = self.queue_position(&waiting.request.query, now);
+        let query = &waiting.request.query;
+        let tokens_ahead = self.wait_queue.tokens_before(query);
+        if let Some(decision) = refuse_hopeless(&self.fleet, query, tokens_ahead, now) {
+            self.carry_out(waiting, decision, now);
+            return;
+        }
+        let position = self.queue_position(query, now);
         if let Some(waiting) = self.try_place(waiting, position, now) {
             self.wait_queue.push(waiting);
         }
@@ -100,7 +107,18 @@
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
         self.placement_count += 1;
-        match place(&self.fleet, &waiting.request.query, position, now) {
+        let decision = place(&self.fleet, &waiting.request.query, position, now);
+        self.carry_out(waiting, decision, now)
+    }
+
+    /// Carries out the decision on a request; returns the request if it has to wait.
+    fn carry_out(
+        &mut self,
+        waiting: WaitingRequest,
+        decision: PlacementDecision,
+        now: MonotonicTime,
+    ) -> Option<WaitingRequest> {
+        match decision {
             PlacementDecision::Wait if waiting.request.may_wait => return Some(waiting),
             PlacementDecision::Wait => {
                 let refusal =
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -64,11 +64,21 @@
 
     /// Counts the requests that come before `query`: older ones that are no larger.
     pub(super) fn count_before(&self, query: &PlacementQuery) -> usize {
+        self.before(query).count()
+    }
+
+    /// Returns the sum of the prompts that come before `query` at the same endpoints, in tokens.
+    pub(super) fn tokens_before(&self, query: &PlacementQuery) -> TokenCount {
+        let same = self
+            .before(query)
+            .filter(|other| other.service == query.service && other.regions == query.regions);
+        same.fold(0, |sum, other| sum.saturating_add(other.size.prompt))
+    }
+
+    fn before(&self, query: &PlacementQuery) -> impl Iterator<Item = &PlacementQuery> {
+        let (arrived, prompt) = (query.arrived, query.size.prompt);
         let others = self.requests.iter().map(|waiting| &waiting.request.query);
-        let before = others.filter(|other| {
-            other.arrived < query.arrived && other.size.prompt <= query.size.prompt
-        });
-        before.count()
+        others.filter(move |other| other.arrived < arrived && other.size.prompt <= prompt)
     }
 
     /// Counts the requests of `service` that wait.
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -287,6 +287,28 @@
     granted(&mut long);
 }
 
+/// Guards against a queue that grows without end: of many long prompts at once, those that cannot be
+/// read in time are refused as they arrive, and the others wait.
+#[test]
+fn long_prompts_beyond_what_is_read_in_time_do_not_wait() {
+    let mut node = TestNode::with_engines(2);
+    let mut refused = 0;
+    let mut waiting = Vec::new();
+    for number in 0..2_000 {
+        let now = NOW + Duration::from_millis(number);
+        let mut receiver = node.request_placement(90_000, now);
+        match receiver.try_recv() {
+            Ok(Err(refusal)) => {
+                assert!(refusal.retry_after > Duration::ZERO, "{refusal:?}");
+                refused += 1;
+            },
+            _ => waiting.push(receiver),
+        }
+    }
+    assert!(waiting.len() > 10, "{} wait", waiting.len());
+    assert!(refused > 1_500, "{refused} are refused at once");
+}
+
 #[test]
 fn snapshot_of_a_silent_node_expires() {
     let mut node = TestNode::with_engines(1);
