--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -1,6 +1,7 @@
 //! Forwards an answer once it is complete.
 
 use actix_http::ResponseHead;
+use actix_http::StatusCode;
 use bytes::BytesMut;
 
 use super::attempt::AnswerBody;
@@ -20,13 +21,18 @@
 impl<P: CallProtocol> CallDriver<'_, P> {
     /// Reads an answer to its end, then forwards it.
     ///
-    /// A server error is kept as the fallback instead if another endpoint may be tried.
+    /// A server error is kept as the fallback instead if another endpoint may be tried. A status that
+    /// callers take for a refusal is not forwarded where the call may have run and must not run again.
     pub(super) async fn relay_buffered(
         &mut self,
         mut open: OpenAttempt,
         head: ResponseHead,
         mut body: BytesMut,
     ) -> Result<(), CallInterrupt> {
+        if promises_not_run(head.status) && !self.call.route.is_retry_safe() {
+            self.record_false_refusal(open, head.status);
+            return Err(CallInterrupt::Attempt(AttemptFault::MayHaveRun));
+        }
         let fallback_bytes = self.fallback.as_ref().map_or(0, |(_, body)| body.len());
         loop {
             match self.next_step(&mut open, EndpointExchange::read_part).await {
@@ -73,4 +79,26 @@
         self.drop_standby();
         self.write_answer(head, body).map_err(|_| CallInterrupt::CallerDisconnected)
     }
+
+    /// Ends an attempt whose endpoint gave a status of a refusal without saying that nothing ran.
+    ///
+    /// To the caller of a call that may not be repeated, the status would be a promise.
+    fn record_false_refusal(&mut self, mut open: OpenAttempt, status: StatusCode) {
+        self.runs += 1;
+        let end = open.failed_end();
+        open.guard.set_end(end);
+        self.record_failed_attempt(&open.endpoint, end, status.as_str());
+        self.excluded.push(open.endpoint);
+    }
+}
+
+/// Returns whether callers take a status for the promise that a request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -50,6 +50,8 @@
     WrongRequestId,
     /// Requests run and are answered with status 500.
     ServerError,
+    /// Requests run and are answered with this status, which states that they have not.
+    FalseRefusal(u16),
     /// Answers of calls have this number of bytes.
     LargeAnswer(usize),
 }
@@ -345,7 +347,7 @@
         _ => &record.request_id,
     };
     let is_failing = match fault {
-        EndpointFault::ServerError => true,
+        EndpointFault::ServerError | EndpointFault::FalseRefusal(_) => true,
         EndpointFault::DisconnectAfterThenFail(_) => record.last_event_id.is_some(),
         _ => false,
     };
@@ -355,7 +357,11 @@
         EndpointFault::LargeAnswer(length) => Some(length),
         _ => None,
     };
-    let status = if is_failing { 500 } else { 200 };
+    let status = match fault {
+        EndpointFault::FalseRefusal(status) => status,
+        _ if is_failing => 500,
+        _ => 200,
+    };
     let reply = match call.header("token-count") {
         Some(_) if !is_failing && !is_text => {
             HttpReply::stream("text/event-stream", events(record, fault, interval, guard))
--- a/crates/apricotknot/tests/gateway.rs
+++ b/crates/apricotknot/tests/gateway.rs
@@ -134,6 +134,25 @@
     assert_eq!(fleet.plain_runs().len(), 1, "the call was not sent again");
 }
 
+/// Guards against a call that runs twice: its endpoint ran it and answered with a status that tells
+/// callers that it has not.
+#[test]
+fn a_refusal_that_does_not_say_not_run_is_no_promise_to_the_caller() {
+    let fleet = Fleet::start("false-refusal", 1);
+    for status in [503, 429, 408] {
+        fleet.set_plain_fault(EndpointFault::FalseRefusal(status));
+        let answer = fleet.nodes[0].send(&order_request(&format!("order-{status}")));
+        assert_eq!(answer.status, 502, "{answer:?}");
+        assert!(answer.body.contains("\"executed\":\"unknown\""), "{answer:?}");
+        assert!(!answer.head.contains("response-seal"), "{answer:?}");
+    }
+    assert_eq!(fleet.plain_runs().len(), 3);
+    fleet.set_plain_fault(EndpointFault::FalseRefusal(503));
+    let repeatable = fleet.nodes[0].send(&lookup_request("lookup"));
+    assert_eq!(repeatable.status, 503, "a repeatable call gets what its endpoint says");
+    assert!(repeatable.head.contains("response-seal: sealed"), "{repeatable:?}");
+}
+
 #[test]
 fn a_non_repeatable_call_is_sent_once() {
     let fleet = Fleet::start("once", 1);
