--- a/crates/apricotknot/src/front/plain.rs
+++ b/crates/apricotknot/src/front/plain.rs
@@ -1,6 +1,7 @@
 //! HTTP interface through which callers call plain services.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::HttpMessage;
@@ -112,7 +113,8 @@
         builder.append_header((name.clone(), value.clone()));
     }
     builder.insert_header((EXECUTED_HEADER, ExecutionCertainty::Yes.name()));
-    build_response(builder, answer.body.clone())
+    let body = ResponseBody::Held(answer.body.clone(), Arc::clone(&answer.memory));
+    build_response(builder, body)
 }
 
 /// Creates the response that replays an answer from the ledger.
@@ -124,11 +126,13 @@
     }
     builder.insert_header((EXECUTED_HEADER, ExecutionCertainty::Yes.name()));
     builder.insert_header((REPLAYED_HEADER, "true"));
-    build_response(builder, answer.body.as_deref().map(Bytes::copy_from_slice).unwrap_or_default())
+    let body = answer.body.as_deref().map(Bytes::copy_from_slice).unwrap_or_default();
+    build_response(builder, ResponseBody::Buffered(body))
 }
 
-fn build_response(mut builder: actix_http::ResponseBuilder, body: Bytes) -> Response<ResponseBody> {
-    builder
-        .message_body(ResponseBody::Buffered(body))
-        .unwrap_or_else(|_| empty_response(StatusCode::BAD_GATEWAY))
+fn build_response(
+    mut builder: actix_http::ResponseBuilder,
+    body: ResponseBody,
+) -> Response<ResponseBody> {
+    builder.message_body(body).unwrap_or_else(|_| empty_response(StatusCode::BAD_GATEWAY))
 }
--- a/crates/apricotknot/src/plain/adapter.rs
+++ b/crates/apricotknot/src/plain/adapter.rs
@@ -66,23 +66,26 @@
                 .echoed(echoed)
                 .retry_after(delay.map(Duration::from_secs)));
         }
-        let body = self.read_body(exchange).await?;
-        Ok(PlainAnswer { echoed, status, headers, body })
+        let mut memory = AnswerMemory::new(Arc::clone(&self.answer_budget));
+        let body = read_body(exchange, &mut memory).await?;
+        Ok(PlainAnswer { echoed, status, headers, body, memory: Arc::new(memory) })
     }
+}
 
-    /// Reads the body of an answer to its end, which its framing states.
-    async fn read_body(&self, mut exchange: EndpointExchange) -> Result<Bytes, PlainError> {
-        let mut memory = AnswerMemory::new(Arc::clone(&self.answer_budget));
-        let mut body = BytesMut::new();
-        while let Some(part) = exchange.read_part().await.map_err(|error| exchange_error(&error))? {
-            let held = body.len() + part.len();
-            if held > MAX_ANSWER_BYTES || memory.set_held(held).is_err() {
-                return Err(PlainError::new(PlainErrorKind::TooLarge));
-            }
-            body.extend_from_slice(&part);
+/// Reads the body of an answer to its end, which its framing states, into `memory`.
+async fn read_body(
+    mut exchange: EndpointExchange,
+    memory: &mut AnswerMemory,
+) -> Result<Bytes, PlainError> {
+    let mut body = BytesMut::new();
+    while let Some(part) = exchange.read_part().await.map_err(|error| exchange_error(&error))? {
+        let held = body.len() + part.len();
+        if held > MAX_ANSWER_BYTES || memory.set_held(held).is_err() {
+            return Err(PlainError::new(PlainErrorKind::TooLarge));
         }
-        Ok(body.freeze())
+        body.extend_from_slice(&part);
     }
+    Ok(body.freeze())
 }
 
 impl PlainClient for HttpPlainClient {
--- a/crates/apricotknot/src/plain/protocol.rs
+++ b/crates/apricotknot/src/plain/protocol.rs
@@ -8,6 +8,7 @@
 use actix_http::Method;
 use actix_http::header::HeaderMap;
 use apricotknot_core::types::AttemptId;
+use apricotknot_gateway::endpoint::AnswerMemory;
 use bytes::Bytes;
 
 /// Describes one attempt of a call.
@@ -40,6 +41,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Memory of the body, which counts as long as the body is held, also for a slow caller.
+    pub memory: Arc<AnswerMemory>,
 }
 
 /// Classifies the failure of an attempt by what it says about execution.
