run: the server gets the bytes of a request once the one before it is answered

Cause: the library's server decodes ahead with the codec that has still to encode the present answer. Ruled out: another codec for each request, as in the gateway (the codec belongs to the library's server). Change: RequestBoundary finds the end of each request (lengths, chunks, trailers); GuardedStream passes on the bytes of one, holds up to 1 KiB behind it, and notices meanwhile that the caller leaves. RequestGuard tells how the body ends, and when the answer has.

--- a/crates/apricotknot/src/front/mod.rs
+++ b/crates/apricotknot/src/front/mod.rs
@@ -31,5 +31,7 @@
 pub use guarded_body::GuardedBody;
 pub use ops::OpsService;
 pub use request_guard::ConnectionGuard;
+pub use request_guard::RequestFraming;
 pub use request_guard::RequestGuard;
+pub use request_guard::RequestProgress;
 pub use service::FrontService;
--- a/crates/apricotknot/src/front/request_guard.rs
+++ b/crates/apricotknot/src/front/request_guard.rs
@@ -10,6 +10,7 @@
 use actix_http::HttpMessage;
 use actix_http::Request;
 use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::header::TRANSFER_ENCODING;
 use apricotknot_core::intake::IntakeRefusal;
@@ -24,15 +25,45 @@
 /// Most bytes of a body that are read at a time, for the same reason.
 const BODY_READ_BYTES: usize = 4 * 1_024;
 
-/// Most bytes that are read while a request is in progress whose body has been read.
-const PIPELINED_BYTES: usize = 1_024;
-
 /// Bytes of a head that need no memory beside the buffer of the connection.
 const BUFFERED_HEAD_BYTES: usize = 8 * 1_024;
 
 /// Headers of a request that has a body.
 const BODY_HEADERS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
 
+/// How the end of a request's body is found.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RequestFraming {
+    /// There is no body.
+    #[default]
+    None,
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+}
+
+impl RequestFraming {
+    fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            return Self::Chunked;
+        }
+        let length = headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+        length.and_then(|length| length.trim().parse().ok()).map_or(Self::None, Self::Length)
+    }
+}
+
+/// What the server has made of the requests of a connection.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RequestProgress {
+    /// Requests whose heads were read.
+    pub begun: u64,
+    /// Requests that were answered.
+    pub ended: u64,
+    /// How the body of the last request ends.
+    pub framing: RequestFraming,
+}
+
 /// Room of one connection, shared by its stream and by its requests.
 #[derive(Debug)]
 pub struct ConnectionGuard {
@@ -41,6 +72,7 @@
     has_unread_body: Cell<bool>,
     /// Bytes that arrived since the last request ended, or since its body was read.
     unserved_bytes: Cell<usize>,
+    progress: Cell<RequestProgress>,
     /// Wakes the connection when it may read again.
     reader: RefCell<Option<Waker>>,
 }
@@ -53,6 +85,7 @@
             has_request: Cell::new(false),
             has_unread_body: Cell::new(false),
             unserved_bytes: Cell::new(0),
+            progress: Cell::default(),
             reader: RefCell::default(),
         })
     }
@@ -71,20 +104,26 @@
         self.intake.grow(sum)
     }
 
-    /// Returns the most bytes that may be read now; if there are none, the task of `context` is
-    /// woken when there are.
-    pub fn input_limit(&self, context: &Context<'_>) -> usize {
-        if !self.has_request.get() {
-            return HEAD_READ_BYTES;
-        }
-        if self.has_unread_body.get() {
-            return BODY_READ_BYTES;
-        }
-        let left = PIPELINED_BYTES.saturating_sub(self.unserved_bytes.get());
-        if left == 0 {
-            self.reader.replace(Some(context.waker().clone()));
+    /// Returns the most bytes of the present request that are read at a time.
+    pub fn input_limit(&self) -> usize {
+        if self.has_request.get() { BODY_READ_BYTES } else { HEAD_READ_BYTES }
+    }
+
+    /// Returns what the server has made of the requests so far.
+    pub fn progress(&self) -> RequestProgress {
+        self.progress.get()
+    }
+
+    /// Wakes the task of `context` when there is progress.
+    pub fn wait_progress(&self, context: &Context<'_>) {
+        self.reader.replace(Some(context.waker().clone()));
+    }
+
+    fn set_progress(&self, progress: RequestProgress) {
+        self.progress.set(progress);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
         }
-        left
     }
 
     /// Polls whether the connection has to close for others; a request that has begun is answered
@@ -123,6 +162,10 @@
             connection.has_request.set(true);
             let headers = request.headers();
             let has_body = BODY_HEADERS.iter().any(|name| headers.contains_key(name));
+            let progress = connection.progress();
+            let framing = RequestFraming::of(headers);
+            let begun = progress.begun + 1;
+            connection.set_progress(RequestProgress { begun, framing, ..progress });
             connection.has_unread_body.set(has_body);
             connection.unserved_bytes.set(0);
             connection.intake.begin();
@@ -144,9 +187,8 @@
             connection.has_request.set(false);
             connection.unserved_bytes.set(0);
             connection.intake.finish();
-            if let Some(reader) = connection.reader.take() {
-                reader.wake();
-            }
+            let progress = connection.progress();
+            connection.set_progress(RequestProgress { ended: progress.ended + 1, ..progress });
         }
     }
 }
--- a/crates/apricotknot/src/node/mod.rs
+++ b/crates/apricotknot/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod guarded_server;
 mod guarded_stream;
 mod process;
+mod request_boundary;
 mod server;
 
 pub use error::NodeError;
