--- a/crates/apricotknot/src/front/driver/mod.rs
+++ b/crates/apricotknot/src/front/driver/mod.rs
@@ -20,6 +20,7 @@
 use apricotknot_core::types::RequestProfile;
 use bytes::Bytes;
 
+use super::ConnectionGuard;
 use super::NodePhase;
 use super::TrafficContext;
 use super::answer::AnswerSender;
@@ -68,6 +69,9 @@
     output: AnswerSender,
     arrived_at: MonotonicTime,
     timing: AnswerTiming,
+    /// Connection of the caller, until the request is first granted an endpoint; it may have to give way
+    /// to others until then.
+    room: Option<Rc<ConnectionGuard>>,
 }
 
 impl<E: EngineClient> RequestDriver<E> {
@@ -77,6 +81,7 @@
         profile: RequestProfile,
         call: PromptCall,
         output: AnswerSender,
+        room: Option<Rc<ConnectionGuard>>,
     ) -> Self {
         let policy = TrackerPolicy {
             repeatable: true,
@@ -100,6 +105,7 @@
             output,
             arrived_at,
             timing: AnswerTiming::new(arrived_at),
+            room,
         }
     }
 
--- a/crates/apricotknot/src/front/request_guard.rs
+++ b/crates/apricotknot/src/front/request_guard.rs
@@ -142,6 +142,22 @@
         self.intake.serve()
     }
 
+    /// Records that the request, of the given size, waits for an endpoint; its connection may have to
+    /// give way to other callers.
+    pub(super) fn queue(&self, size: u64) {
+        self.intake.queue(size);
+    }
+
+    /// Waits until the connection has to give way.
+    pub(super) async fn gave_way(&self) {
+        self.intake.gave_way().await;
+    }
+
+    /// Records that the request waits no longer; returns whether it may run, or has to give way.
+    pub(super) fn leave_queue(&self) -> bool {
+        self.intake.serve()
+    }
+
     /// Returns the room of the connection.
     pub(super) fn intake(&self) -> &IntakeConnection {
         &self.intake
@@ -175,9 +191,12 @@
 }
 
 impl RequestGuard {
-    /// Returns whether a part of the body has not been read, so that the connection has to close.
-    pub fn has_unread_body(&self) -> bool {
-        self.connection.as_ref().is_some_and(|connection| connection.has_unread_body.get())
+    /// Returns whether the connection has to close: for others, or as a part of the body has not been
+    /// read.
+    pub fn has_to_close(&self) -> bool {
+        self.connection.as_ref().is_some_and(|connection| {
+            connection.has_unread_body.get() || connection.intake.has_to_give_way()
+        })
     }
 }
 
--- a/crates/apricotknot/src/node/guarded_server.rs
+++ b/crates/apricotknot/src/node/guarded_server.rs
@@ -93,14 +93,14 @@
     Ok(server.run())
 }
 
-/// Serves one request; a connection on which a part of it was not read is closed.
+/// Serves one request; a connection that gives way, or on which a part of it was not read, is closed.
 async fn answer<S: RequestService>(
     service: S,
     request: Request,
 ) -> Result<Response<GuardedBody>, Infallible> {
     let guard = RequestGuard::begin(&request);
     let mut response = service.serve(request).await;
-    if guard.has_unread_body() {
+    if guard.has_to_close() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     Ok(response.map_body(|_, body| GuardedBody::new(body, guard)))
--- a/crates/apricotknot/tests/crowds_run.rs
+++ b/crates/apricotknot/tests/crowds_run.rs
@@ -338,3 +338,34 @@
 async fn mixture_from_a_thousand_connections_by_hand() {
     check_crowd(Interface::Callers, 125, &Interface::Callers.mixture()).await;
 }
+
+/// Guards against a node that says it is ready and takes no client, as prompts that wait for an engine
+/// hold all connections until their deadlines.
+#[actix_rt::test]
+#[expect(clippy::await_holding_lock, reason = "each test has a thread of its own")]
+async fn prompts_that_wait_on_all_descriptors() {
+    let _only = be_only_crowd();
+    let plan = EnginePlan::default().option("--step-ms", 1_000).max_concurrent(1);
+    let settings = FleetSettings::default().engine(plan).max_descriptors(FEW_DESCRIPTORS);
+    let fleet = FleetHarness::start(settings).await.expect("the fleet starts");
+    let body = chat_body("standin", "a long story", 1_000, true).to_string();
+    let head = Interface::Callers.head(&format!("content-length: {}\r\n", body.len()));
+    let crowd = Crowd::start(fleet.nodes[0].callers, HOLDERS, &[ClientScript::start(head + &body)]);
+    let crowd = tokio::task::spawn_blocking(move || {
+        crowd.wait_sent();
+        crowd
+    });
+    let crowd = crowd.await.expect("the crowd sends");
+    let account = FleetHarness::account_headers();
+    let call = fleet.client.call(
+        actix_http::Method::GET,
+        fleet.nodes[0].callers,
+        "/v1/models",
+        &account,
+        "",
+    );
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, call).await;
+    drop(tokio::task::spawn_blocking(|| crowd.release()).await);
+    let status = answer.expect("an answer in time").map(|answer| answer.status).ok();
+    assert_eq!(status, Some(200), "{}", fleet.node_log_tail(0));
+}
