--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -19,8 +19,6 @@
 use actix_http::error::ParseError;
 use actix_http::h1::Message;
 use actix_http::h1::MessageType;
-use actix_http::header::CONTENT_LENGTH;
-use actix_http::header::HeaderMap;
 use actix_rt::net::TcpStream;
 use apricotknot_core::routing::InputLimits;
 use bytes::Bytes;
@@ -33,12 +31,11 @@
 use super::ConnectionError;
 use super::IncomingRequest;
 use super::caller_codec::CallerCodec;
+use super::message_size::declared_length;
+use super::message_size::head_bytes;
 use crate::endpoint::AnswerMemory;
 use crate::intake::IntakeConnection;
 
-/// Bytes of a header line beside its name and value: a colon, a space and the line end.
-const HEADER_LINE_OVERHEAD: usize = 4;
-
 /// Longest time to close a connection whose output has been written.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -495,16 +492,3 @@
         self.buffered_bytes
     }
 }
-
-fn head_bytes(head: &RequestHead) -> usize {
-    let target = head.uri.path_and_query().map_or(1, |target| target.as_str().len());
-    let headers = head.headers.iter();
-    target
-        + headers
-            .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_OVERHEAD)
-            .sum::<usize>()
-}
-
-fn declared_length(headers: &HeaderMap) -> Option<usize> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
-}
--- a/crates/apricotknot-gateway/src/driver/unbuffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/unbuffered_relay.rs
@@ -5,7 +5,6 @@
 
 use actix_http::ResponseHead;
 use actix_http::body::BodySize;
-use actix_http::header::CONTENT_LENGTH;
 use bytes::BytesMut;
 
 use super::attempt::AnswerBody;
@@ -15,6 +14,7 @@
 use super::attempt::OpenAttempt;
 use super::buffered_relay::MAX_ANSWER_BYTES;
 use super::call_driver::CallDriver;
+use crate::caller::declared_length;
 use crate::caller::remove_hop_by_hop_headers;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::ExchangeError;
@@ -69,7 +69,8 @@
     ) -> Result<(), CallInterrupt> {
         self.has_answer_begun = true;
         let mut head = head.clone();
-        let size = declared_length(&head).map_or(BodySize::Stream, BodySize::Sized);
+        let length = declared_length(&head.headers).and_then(|length| u64::try_from(length).ok());
+        let size = length.map_or(BodySize::Stream, BodySize::Sized);
         remove_hop_by_hop_headers(&mut head.headers);
         self.close_if_stopping();
         let begun = self.connection.begin_answer(&head, size);
@@ -82,7 +83,3 @@
         CallInterrupt::Truncated
     }
 }
-
-fn declared_length(head: &ResponseHead) -> Option<u64> {
-    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
-}
--- a/crates/apricotknot/tests/soak.rs
+++ b/crates/apricotknot/tests/soak.rs
@@ -61,6 +61,7 @@
 use soak_fault::SIGNAL_SERIES;
 use soak_fault::SoakFault;
 use soak_fault::endpoint_id;
+use soak_fault::random_endpoint_fault;
 use soak_fault::set_blocked;
 
 /// Seeds that every test run uses. A seed that fails is added here, with the cause of the failure.
@@ -87,12 +88,6 @@
 /// Backoff, in seconds, that an endpoint asks for.
 const NAMED_RETRY_AFTER: &str = "0.7";
 
-/// Silence of an endpoint after which it goes on as another one is tried.
-const SHORT_PAUSE: Duration = Duration::from_millis(3_300);
-
-/// Silence of an endpoint that another one replaces.
-const LONG_PAUSE: Duration = Duration::from_secs(7);
-
 /// Time after which the API for duties carries out calls without an answer.
 const LATE_CALL: Duration = Duration::from_millis(2_500);
 
@@ -207,18 +202,8 @@
             (self.random.random_range(0..5), self.random.random_range(0..self.fleet.nodes.len()));
         let endpoint = self.random.random_range(0..4);
         // A build before does not know that a refusal may be none.
-        let kinds = if self.other_program.is_some() { 11 } else { 12 };
-        let endpoint_fault = match self.random.random_range(0..kinds) {
-            0..2 => EndpointFault::DisconnectAfter(2),
-            2..5 => EndpointFault::DisconnectAfterThenFail(1),
-            5 => EndpointFault::Full,
-            6 => EndpointFault::DropAnswer,
-            7 => EndpointFault::WrongRequestId,
-            8 => EndpointFault::ServerError,
-            9 => EndpointFault::Pause(1, SHORT_PAUSE),
-            10 => EndpointFault::Pause(1, LONG_PAUSE),
-            _ => EndpointFault::FalseRefusal(503),
-        };
+        let has_false_refusals = self.other_program.is_none();
+        let endpoint_fault = random_endpoint_fault(&mut self.random, has_false_refusals);
         let fault = match self.random.random_range(0..33) {
             0 => SoakFault::LinkDelay(proxy, self.random.random_range(LINK_DELAYS_MS)),
             1 => SoakFault::LinkBlocked(proxy, LinkDirection::ToTarget),
--- a/crates/apricotknot/tests/support/soak_fault.rs
+++ b/crates/apricotknot/tests/support/soak_fault.rs
@@ -1,12 +1,22 @@
 //! Faults of the soak test.
 
+use std::time::Duration;
+
 use apricotknot_standin::users_platform::DutyFault;
 use apricotknot_standin::users_platform::EndpointFault;
+use rand::RngExt;
+use rand::rngs::StdRng;
 
 use super::fault_proxy::Admission;
 use super::fault_proxy::FaultProxy;
 use super::fault_proxy::LinkDirection;
 
+/// Silence of an endpoint after which it goes on as another one is tried.
+const SHORT_PAUSE: Duration = Duration::from_millis(3_300);
+
+/// Silence of an endpoint that another one replaces.
+const LONG_PAUSE: Duration = Duration::from_secs(7);
+
 /// Series of signals that a node may receive.
 pub(crate) const SIGNAL_SERIES: [&[&str]; 5] =
     [&["-STOP"], &["-KILL"], &["-TERM"], &["-STOP", "-KILL"], &["-TERM", "-HUP", "-KILL"]];
@@ -61,3 +71,21 @@
     way.set_blocked(LinkDirection::ToTarget, is_blocked);
     way.set_blocked(LinkDirection::ToClient, is_blocked);
 }
+
+/// Returns a random fault of an endpoint.
+pub(crate) fn random_endpoint_fault(
+    random: &mut StdRng,
+    has_false_refusals: bool,
+) -> EndpointFault {
+    match random.random_range(0..if has_false_refusals { 12 } else { 11 }) {
+        0..2 => EndpointFault::DisconnectAfter(2),
+        2..5 => EndpointFault::DisconnectAfterThenFail(1),
+        5 => EndpointFault::Full,
+        6 => EndpointFault::DropAnswer,
+        7 => EndpointFault::WrongRequestId,
+        8 => EndpointFault::ServerError,
+        9 => EndpointFault::Pause(1, SHORT_PAUSE),
+        10 => EndpointFault::Pause(1, LONG_PAUSE),
+        _ => EndpointFault::FalseRefusal(503),
+    }
+}
