driver: an endpoint counts as silent as soon as its attempt is set aside

Change: ControlCommand::EndpointSilent as it is set aside; its end changes nothing more, unless it answers.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -217,6 +217,13 @@
         }
     }
 
+    /// Records that an endpoint is silent, whose attempt has not ended yet.
+    pub fn record_silence(&mut self, endpoint: &str, now: MonotonicTime) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.health.record_end(AttemptEnd::Silent, now);
+        }
+    }
+
     /// Records that an endpoint began an answer after `ratio` times the expected time.
     pub fn record_slowdown(&mut self, endpoint: &str, ratio: f64, now: MonotonicTime) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -176,6 +176,11 @@
         /// Endpoint that has no memory, or did not answer.
         endpoint: EndpointId,
     },
+    /// An endpoint is silent; its attempt goes on beside one at another endpoint.
+    EndpointSilent {
+        /// Endpoint that is silent.
+        endpoint: EndpointId,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Identifies the attempt.
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -195,6 +195,9 @@
             ControlCommand::MemoryRefused { endpoint } => {
                 self.fleet.record_memory_refused(&endpoint, now);
             },
+            ControlCommand::EndpointSilent { endpoint } => {
+                self.fleet.record_silence(&endpoint, now);
+            },
             ControlCommand::AttemptEnded { attempt, end } => self.end_attempt(attempt, end, now),
             ControlCommand::ConnectionBroken { fingerprint, endpoint } => {
                 self.quarantine.record_broken(CrashReport { fingerprint, endpoint }, now);
--- a/crates/apricotknot-gateway/src/driver/standby.rs
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -13,6 +13,7 @@
 use super::attempt::WaitInterrupt;
 use super::call_driver::CallDriver;
 use super::call_driver::MAX_SENDS;
+use crate::control::ControlCommand;
 use crate::protocol::CallProtocol;
 
 /// Most endpoints that are tried for silent ones in one call, whether they are reached or not.
@@ -35,7 +36,10 @@
         reason: WaitInterrupt,
     ) -> CallInterrupt {
         if reason == WaitInterrupt::Silence && self.next_grant.is_some() {
-            self.log_set_aside(&stage.open_mut().endpoint);
+            let endpoint = EndpointId::clone(&stage.open_mut().endpoint);
+            self.log_set_aside(&endpoint);
+            // Other calls avoid it from now on.
+            self.context.control.send(ControlCommand::EndpointSilent { endpoint });
             // It may have run, whatever becomes of the other one.
             self.runs += 1;
             self.replacements += 1;
@@ -77,9 +81,9 @@
     /// Gives up the attempt that was set aside, as another one has begun to answer or none will.
     pub(super) fn drop_standby(&mut self) {
         if let Some(mut stage) = self.standby.take() {
-            let open = stage.open_mut();
-            open.guard.set_end(AttemptEnd::Silent);
-            self.record_failed_attempt(&open.endpoint, AttemptEnd::Silent, "silence");
+            // That it is silent was reported as it was set aside.
+            let endpoint = &stage.open_mut().endpoint;
+            self.record_failed_attempt(endpoint, AttemptEnd::Silent, "silence");
         }
     }
 
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -309,6 +309,22 @@
     assert!(refused > 1_500, "{refused} are refused at once");
 }
 
+/// Guards against calls that go on to a silent endpoint while another one is tried for the first of
+/// them: it is avoided from the moment at which it counts as silent, though its attempt goes on.
+#[test]
+fn endpoint_that_is_silent_is_avoided_before_its_attempt_ends() {
+    let mut node = TestNode::with_engines(2);
+    let mut grant = |node: &mut TestNode| {
+        let mut receiver = node.request_placement(1_000, NOW);
+        receiver.try_recv().ok().and_then(Result::ok).expect("a grant")
+    };
+    let silent = grant(&mut node);
+    let endpoint = silent.endpoint.clone();
+    node.state.handle_command(ControlCommand::EndpointSilent { endpoint }, NOW);
+    let others = [grant(&mut node), grant(&mut node)];
+    assert!(others.iter().all(|other| other.endpoint != silent.endpoint), "{others:?}");
+}
+
 #[test]
 fn snapshot_of_a_silent_node_expires() {
     let mut node = TestNode::with_engines(1);
