--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -62,6 +62,11 @@
         Some(until.saturating_sub(now))
     }
 
+    /// Returns whether other endpoints keep memory for the attempt that no engine uses yet.
+    pub(super) fn holds_unused_memory(&self) -> bool {
+        self.unused_until.is_some() && !self.has_begun
+    }
+
     /// Returns whether the attempt is to be given up at `now` because its memory is not used.
     pub(super) fn is_unused(&self, now: MonotonicTime) -> bool {
         self.unused_left(now).is_some_and(|left| left.is_zero())
--- a/crates/apricotknot-gateway/src/driver/standby.rs
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -35,7 +35,9 @@
         mut stage: AttemptStage,
         reason: WaitInterrupt,
     ) -> CallInterrupt {
-        if reason == WaitInterrupt::Silence && self.next_grant.is_some() {
+        // Memory at other endpoints is not kept for an attempt that may never use it.
+        let may_go_on = !stage.open_mut().holds_unused_memory();
+        if reason == WaitInterrupt::Silence && self.next_grant.is_some() && may_go_on {
             let endpoint = EndpointId::clone(&stage.open_mut().endpoint);
             self.log_set_aside(&endpoint);
             // Other calls avoid it from now on.
