--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -314,7 +314,7 @@
 #[test]
 fn endpoint_that_is_silent_is_avoided_before_its_attempt_ends() {
     let mut node = TestNode::with_engines(2);
-    let mut grant = |node: &mut TestNode| {
+    let grant = |node: &mut TestNode| {
         let mut receiver = node.request_placement(1_000, NOW);
         receiver.try_recv().ok().and_then(Result::ok).expect("a grant")
     };
