--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -253,9 +253,9 @@
     /// Writes the buffered output, and returns only when the caller has closed the connection.
     ///
     /// Also returns if the connection breaks, the caller sends bytes that are not a request, or a
-    /// request that waits for an endpoint has to give way. A
-    /// pipelined request is kept for the next call of [`CallerConnection::read_request`]; from then
-    /// on a close is noticed only if writing fails.
+    /// request that waits for an endpoint has to give way. A pipelined request is kept for the next
+    /// call of [`CallerConnection::read_request`]; from then on a close is noticed only if writing
+    /// fails.
     pub async fn wait_closed(&mut self) {
         poll_fn(|context| self.poll_closed(context)).await;
     }
