--- a/crates/apricotknot-core/src/fleet/wait_forecast.rs
+++ b/crates/apricotknot-core/src/fleet/wait_forecast.rs
@@ -15,10 +15,10 @@
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
 
-/// Least excess of the wait over the time that is left, beside as much again.
+/// Time by which the wait has to exceed twice the time that is left.
 ///
-/// At the end of its time a request is tried before older ones, so what wait before it is no bound for
-/// one that has little time.
+/// A request is tried before older ones at the end of its time, so those do not bound its wait if it
+/// has little time.
 const MIN_EXCESS: Duration = Duration::from_secs(2);
 
 /// Longest retry delay that a caller is given, however many wait.
--- a/crates/apricotknot-core/src/routing/key_policy.rs
+++ b/crates/apricotknot-core/src/routing/key_policy.rs
@@ -57,6 +57,7 @@
         trust: ConfigurationTrust,
     ) -> Result<Option<VerifiedAccount>, KeyFault> {
         let needs_key = self.is_required() && !is_public;
+        // The outer `None` is a request without a key, the inner one a key that no account holds.
         match key.map(|key| self.account(key)) {
             None if !needs_key => Ok(None),
             Some(Some(account)) if trust.may_admit => {
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -113,8 +113,12 @@
 
     /// Counts what is buffered of a stream, and waits until the caller has read it if it is too much.
     ///
-    /// `unforwarded` is the length of what no whole event has come of yet. Returns an error if there
-    /// is no memory even for that.
+    /// `unforwarded` is the length of what no whole event has come of yet. The inner error says that
+    /// there is no memory even for that, which ends the attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the interrupt of the call if the caller does not read in time.
     async fn bound_buffers(
         &mut self,
         unforwarded: usize,
--- a/crates/apricotknot-gateway/src/driver/standby.rs
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -9,6 +9,7 @@
 use super::attempt::AttemptFault;
 use super::attempt::AttemptStage;
 use super::attempt::CallInterrupt;
+use super::attempt::OpenAttempt;
 use super::attempt::StandbyEvent;
 use super::attempt::WaitInterrupt;
 use super::call_driver::CallDriver;
@@ -29,39 +30,47 @@
             && self.runs + 1 < self.call.route.max_attempts
     }
 
-    /// Ends or sets aside an attempt whose wait was interrupted for `reason`.
+    /// Sets an attempt aside if it is silent and there is a grant for another endpoint, and ends it if
+    /// its wait was interrupted for another reason.
     pub(super) fn interrupt_stage(
         &mut self,
         mut stage: AttemptStage,
         reason: WaitInterrupt,
     ) -> CallInterrupt {
+        // The attempt may have run, whatever becomes of it.
+        self.runs += 1;
         // Memory at other endpoints is not kept for an attempt that may never use it.
         let may_go_on = !stage.open_mut().holds_unused_memory();
-        if reason == WaitInterrupt::Silence && self.next_grant.is_some() && may_go_on {
-            let endpoint = EndpointId::clone(&stage.open_mut().endpoint);
-            self.log_set_aside(&endpoint);
-            // Other calls avoid it from now on.
-            self.context.control.send(ControlCommand::EndpointSilent { endpoint });
-            // It may have run, whatever becomes of the other one.
-            self.runs += 1;
-            self.replacements += 1;
-            self.standby = Some(Box::new(stage));
-            return CallInterrupt::SetAside;
+        match reason {
+            WaitInterrupt::CallerDisconnected => CallInterrupt::CallerDisconnected,
+            WaitInterrupt::StandbyGoesOn => CallInterrupt::StandbyGoesOn,
+            WaitInterrupt::Silence if self.next_grant.is_some() && may_go_on => {
+                self.set_aside(stage);
+                CallInterrupt::SetAside
+            },
+            WaitInterrupt::Silence => {
+                self.end_silent(stage.open_mut(), "silence");
+                CallInterrupt::Attempt(AttemptFault::MayHaveRun)
+            },
+            WaitInterrupt::Deadline => {
+                self.end_silent(stage.open_mut(), "deadline");
+                CallInterrupt::Deadline
+            },
         }
-        self.runs += 1;
-        let cause = match reason {
-            WaitInterrupt::CallerDisconnected => return CallInterrupt::CallerDisconnected,
-            WaitInterrupt::StandbyGoesOn => return CallInterrupt::StandbyGoesOn,
-            WaitInterrupt::Deadline => "deadline",
-            WaitInterrupt::Silence => "silence",
-        };
-        let open = stage.open_mut();
+    }
+
+    /// Keeps a silent attempt beside the one that may replace it; other calls avoid its endpoint.
+    fn set_aside(&mut self, mut stage: AttemptStage) {
+        let endpoint = EndpointId::clone(&stage.open_mut().endpoint);
+        self.log_set_aside(&endpoint);
+        self.context.control.send(ControlCommand::EndpointSilent { endpoint });
+        self.replacements += 1;
+        self.standby = Some(Box::new(stage));
+    }
+
+    fn end_silent(&self, open: &mut OpenAttempt, cause: &str) {
         open.guard.set_end(AttemptEnd::Silent);
         self.record_failed_attempt(&open.endpoint, AttemptEnd::Silent, cause);
-        match reason {
-            WaitInterrupt::Silence => CallInterrupt::Attempt(AttemptFault::MayHaveRun),
-            _ => CallInterrupt::Deadline,
-        }
     }
 
     /// Returns the attempt that was set aside, as the one in progress, if there is one; `goes_on` tells
@@ -69,6 +78,7 @@
     pub(super) fn take_standby(&mut self, goes_on: bool) -> Option<AttemptStage> {
         let mut stage = *self.standby.take()?;
         self.next_grant = None;
+        // It counts again once it ends.
         self.runs -= 1;
         let now = self.now();
         let open = stage.open_mut();
--- a/crates/apricotknot/src/node/request_boundary.rs
+++ b/crates/apricotknot/src/node/request_boundary.rs
@@ -14,7 +14,8 @@
     Size(u64),
     /// After the size, before the end of its line.
     Extension(u64),
-    /// Within the bytes of a chunk, of which so many are left, or within the line end behind it.
+    /// Within the bytes of a chunk, of which so many are left; with 0 left, within the line end behind
+    /// them.
     Data(u64),
     /// Within a trailer line, whether it has any characters so far.
     Trailer { is_empty: bool },
