--- a/review/11/case.py
+++ b/review/11/case.py
@@ -40,8 +40,7 @@
             return
         answer = whole_answer(headers["request-id"])
         early = EARLY_PARTS * PART_BYTES
-        named = type("Named", (), {"name": name})
-        writer.write(message("HTTP/1.1 200 OK", seal(named, headers), answer[:early]))
+        writer.write(message("HTTP/1.1 200 OK", seal(name, headers), answer[:early]))
         print("begun", headers["request-id"], flush=True)
         left = int(headers["content-length"])
         while left:
@@ -88,6 +87,7 @@
                 far_writer.write(part)
                 await far_writer.drain()
                 await asyncio.sleep(LINK_STEP_S)
+            far_writer.write_eof()
         except (ConnectionError, OSError):
             # The machine of the endpoint has answered with a reset, which takes the same way.
             self.log("link: resets the connection while the upload is under way")
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -219,8 +219,9 @@
             writer.close()
 
 
-def seal(endpoint, headers):
-    return {"Request-Id": headers.get("request-id", ""), "Response-Seal": f"seal.{endpoint.name}"}
+def seal(name, headers):
+    """The headers with which the endpoint `name` marks an answer as its own."""
+    return {"Request-Id": headers.get("request-id", ""), "Response-Seal": f"seal.{name}"}
 
 
 def route(prefix, service, kind, timeout_ms, target_ms, **more):
