--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -282,7 +282,7 @@
 
     def __init__(self, name, store, memory_mb, descriptors):
         self.callers, self.operations, self.news = free_port(), free_port(), free_port()
-        self.folder = tempfile.TemporaryDirectory()
+        self.folder, self.process = tempfile.TemporaryDirectory(), None
         self.settings = os.path.join(self.folder.name, "settings.ini")
         text = SETTINGS.format(
             name=name, callers=self.callers, operations=self.operations, news=self.news,
@@ -298,7 +298,7 @@
         self.process = subprocess.Popen(command, stdout=self.log, stderr=subprocess.STDOUT)
 
     def is_running(self):
-        return self.process.poll() is None
+        return self.process is not None and self.process.poll() is None
 
     def status_kb(self, field):
         """A figure of the process in kB, such as VmRSS, or None once it has ended."""
@@ -319,7 +319,7 @@
     def kill(self):
         if self.is_running():
             self.process.send_signal(signal.SIGKILL)
-        self.process.wait()
+            self.process.wait()
 
 
 async def call(port, request, limit):
