exchange: an answer without a length ends only once its endpoint has taken the request

Cause: `poll_part` took the end of the connection for the end of the answer once the request was written. Written means that this node's kernel has it. Most of the upload was still there as the process ended; its kernel ends the connection as in order, and resets it only when the next bytes arrive, 12 to 18 ms later (record of the case).

A wait of a fixed time would only move the window.

Change: after the end of a connection the exchange asks the kernel (TCP_INFO, by nix, since Linux 4.6) whether everything sent is acknowledged and the connection sound. If so, the answer ends at once and no timer runs. Else the end is held back and looked at each 10 ms, until the acknowledgement, an error of the connection, or the end of the call: its time limit, the caller's leaving, a stop. An endpoint that closed in order has read the request, so the packet with its end acknowledges it. The log tells a request that was not taken, with the bytes outstanding, from a reset and from a cut by length. Streams, unbuffered answers, attempts set aside and plain services of `run` read through the same exchange.

--- a/crates/apricotknot-gateway/src/driver/standby.rs
+++ b/crates/apricotknot-gateway/src/driver/standby.rs
@@ -70,6 +70,13 @@
 
     fn end_silent(&self, open: &mut OpenAttempt, cause: &str) {
         open.guard.set_end(AttemptEnd::Silent);
+        let cause = match open.exchange.held_back_for() {
+            Some(bytes) => &format!(
+                "{cause}, and the answer ended before its endpoint took the request: up to {bytes} \
+                 bytes not acknowledged"
+            ),
+            None => cause,
+        };
         self.record_failed_attempt(&open.endpoint, AttemptEnd::Silent, cause);
     }
 
--- a/crates/apricotknot-gateway/src/endpoint/connection.rs
+++ b/crates/apricotknot-gateway/src/endpoint/connection.rs
@@ -15,7 +15,9 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use super::Delivery;
 use super::ExchangeError;
+use super::delivery;
 use crate::relay::RelayedStream;
 
 /// Longest time to establish a connection to an endpoint.
@@ -49,6 +51,19 @@
             Self::Relayed { peer, .. } => Some(peer),
         }
     }
+
+    /// Returns what has become of the bytes that were sent, after the endpoint has ended its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with which the connection failed.
+    pub(super) fn delivery(&self) -> io::Result<Delivery> {
+        match self {
+            Self::Direct(stream) => delivery(stream),
+            // A peer passes the end on once the endpoint has acknowledged the request.
+            Self::Relayed { .. } => Ok(Delivery::Acknowledged),
+        }
+    }
 }
 
 impl AsyncRead for EndpointConnection {
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -29,10 +29,13 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::io::AsyncWrite;
+use tokio::time::Sleep;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 use tokio_util::io::poll_read_buf;
 
+use super::DELIVERY_CHECK_INTERVAL;
+use super::Delivery;
 use super::EndpointConnection;
 use super::ExchangeError;
 use super::connect;
@@ -85,6 +88,10 @@
     ///
     /// The kernel reports a reset once: after the sender was told, the receiver sees an orderly end.
     send_error: Option<io::Error>,
+    /// Bytes that the endpoint had not acknowledged when the end of its answer was last looked at.
+    outstanding_bytes: u64,
+    /// Time until they are looked at again, while the end of the answer is held back for them.
+    next_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl EndpointExchange {
@@ -121,7 +128,17 @@
         let (output, body_left) = encode(&mut codec, head, body)?;
         let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
         let framing = BodyFraming::AwaitingHead(codec);
-        Ok(Self { connection, input, output, body_left, framing, head_bytes: 0, send_error: None })
+        Ok(Self {
+            connection,
+            input,
+            output,
+            body_left,
+            framing,
+            head_bytes: 0,
+            send_error: None,
+            outstanding_bytes: 0,
+            next_check: None,
+        })
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -147,6 +164,13 @@
         self.connection.relayed_by()
     }
 
+    /// Returns the bytes of the request for which the end of the answer is held back.
+    ///
+    /// Returns `None` if no end is held back. See [`Self::poll_delivered`].
+    pub fn held_back_for(&self) -> Option<u64> {
+        self.next_check.is_some().then_some(self.outstanding_bytes)
+    }
+
     fn poll_head(
         &mut self,
         context: &mut Context<'_>,
@@ -234,6 +258,7 @@
             if let Some(error) = self.send_error.take() {
                 return Poll::Ready(Err(ExchangeError::Broken(error)));
             }
+            ready!(self.poll_delivered(context))?;
             self.framing = BodyFraming::Complete;
             return Poll::Ready(Ok(None));
         }
@@ -256,6 +281,38 @@
         Poll::Ready(())
     }
 
+    /// Waits until the endpoint has acknowledged the whole request, which was sent.
+    ///
+    /// An endpoint that ends an answer without a length as in order has received the request. One whose
+    /// process ended before it read the request also ends the connection, and resets it when more of
+    /// the request arrives; until then only the missing acknowledgement differs. The wait is ended by
+    /// the acknowledgement, by an error of the connection, or by the caller of the exchange.
+    fn poll_delivered(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ExchangeError>> {
+        loop {
+            match self.connection.delivery() {
+                Ok(Delivery::Acknowledged) => {
+                    self.next_check = None;
+                    return Poll::Ready(Ok(()));
+                },
+                Ok(Delivery::Outstanding { bytes }) => self.outstanding_bytes = bytes,
+                Err(error) => return Poll::Ready(Err(self.end_undelivered(error))),
+            }
+            let check = self
+                .next_check
+                .get_or_insert_with(|| Box::pin(tokio::time::sleep(DELIVERY_CHECK_INTERVAL)));
+            ready!(check.as_mut().poll(context));
+            self.next_check = None;
+        }
+    }
+
+    /// Returns the error of an exchange whose connection failed after the end of the answer.
+    fn end_undelivered(&self, error: io::Error) -> ExchangeError {
+        match self.outstanding_bytes {
+            0 => ExchangeError::Broken(error),
+            outstanding_bytes => ExchangeError::RequestNotTaken { outstanding_bytes, error },
+        }
+    }
+
     /// Reads more input; returns `false` if the connection has ended.
     fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<Result<bool, ExchangeError>> {
         self.input.reserve(READ_CHUNK_BYTES);
--- a/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
@@ -27,6 +27,17 @@
     /// The connection broke.
     #[error("the connection broke: {0}")]
     Broken(io::Error),
+    /// The endpoint ended an answer without a length, but its side did not take the whole request.
+    #[error(
+        "the answer ended before its endpoint took the request: the connection failed with up to \
+         {outstanding_bytes} bytes not acknowledged: {error}"
+    )]
+    RequestNotTaken {
+        /// Most bytes of the request that were not acknowledged.
+        outstanding_bytes: u64,
+        /// Error of the connection.
+        error: io::Error,
+    },
     /// The connection ended before the answer was complete.
     #[error("the connection ended before the answer was whole")]
     Truncated,
--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_budget;
 mod connection;
+mod delivery;
 mod event_splitter;
 mod exchange;
 mod exchange_error;
@@ -19,3 +20,6 @@
 pub use exchange_error::ExchangeError;
 
 pub(crate) use connection::set_socket_options;
+pub(crate) use delivery::DELIVERY_CHECK_INTERVAL;
+pub(crate) use delivery::Delivery;
+pub(crate) use delivery::delivery;
