relay: a peer ends an answer only once its endpoint has taken the request

Cause: the peer wrote the frame that ends an answer as soon as the endpoint closed. It did not know where the request ends, and what it had written could be in its kernel's buffer. The node's own connection says only what the peer took.

Change: the node offers behind its opening to state the length of its request; a peer of this build agrees with a code of its own (128), and then holds the end back until it has written so many bytes and the endpoint has acknowledged them. If the connection fails first, it closes without the frame (`relay: over` says `request_not_taken`, and the bytes). The build before skips the offer and never sees the code. The end of an answer to a body, stated by a peer of the build before, is not believed: nobody knows there. To a node of the build before, the end waits for what has come of its request.

Ruled out: reading the length in the request's head at the peer (it passes bytes on, whatever they are); the length within the opening (the head is made after the connection).

The fixture of the tests of the relay moves to `support/relaying_node.rs`; its checks are as they were, each connection now states its request's length.

--- a/crates/apricotknot-gateway/src/endpoint/connection.rs
+++ b/crates/apricotknot-gateway/src/endpoint/connection.rs
@@ -60,8 +60,14 @@
     pub(super) fn delivery(&self) -> io::Result<Delivery> {
         match self {
             Self::Direct(stream) => delivery(stream),
-            // A peer passes the end on once the endpoint has acknowledged the request.
-            Self::Relayed { .. } => Ok(Delivery::Acknowledged),
+            Self::Relayed { stream, .. } => Ok(stream.delivery()),
+        }
+    }
+
+    /// States the length of the request, in bytes, before it is sent.
+    pub(super) fn state_request_length(&mut self, bytes: u64) {
+        if let Self::Relayed { stream, .. } = self {
+            stream.state_request_length(bytes);
         }
     }
 }
--- a/crates/apricotknot-gateway/src/endpoint/delivery.rs
+++ b/crates/apricotknot-gateway/src/endpoint/delivery.rs
@@ -27,6 +27,8 @@
         /// Most bytes that may be missing; those on their way are counted in whole segments.
         bytes: u64,
     },
+    /// A peer of an earlier build relays, and does not tell.
+    Unknown,
 }
 
 /// Start of `struct tcp_info` in Linux's `linux/tcp.h`, as it is since Linux 4.6; the kernel only adds
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -81,6 +81,7 @@
     output: BytesMut,
     /// Body that follows the output; it is not copied.
     body_left: Bytes,
+    has_body: bool,
     framing: BodyFraming,
     /// Bytes of the heads that were decoded.
     head_bytes: usize,
@@ -120,12 +121,14 @@
     /// Returns an error for which [`ExchangeError::is_unsent`] holds.
     pub fn start(
         config: &ServiceConfig,
-        connection: EndpointConnection,
+        mut connection: EndpointConnection,
         head: RequestHead,
         body: &Bytes,
     ) -> Result<Self, ExchangeError> {
         let mut codec = ClientCodec::new(config.clone());
         let (output, body_left) = encode(&mut codec, head, body)?;
+        let length = u64::try_from(output.len() + body_left.len()).unwrap_or(u64::MAX);
+        connection.state_request_length(length);
         let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
         let framing = BodyFraming::AwaitingHead(codec);
         Ok(Self {
@@ -133,6 +136,7 @@
             input,
             output,
             body_left,
+            has_body: !body.is_empty(),
             framing,
             head_bytes: 0,
             send_error: None,
@@ -295,6 +299,11 @@
                     return Poll::Ready(Ok(()));
                 },
                 Ok(Delivery::Outstanding { bytes }) => self.outstanding_bytes = bytes,
+                Ok(Delivery::Unknown) if self.has_body => {
+                    return Poll::Ready(Err(ExchangeError::UnconfirmedEnd));
+                },
+                // An endpoint that answers a request has read its head, and there is no more of it.
+                Ok(Delivery::Unknown) => return Poll::Ready(Ok(())),
                 Err(error) => return Poll::Ready(Err(self.end_undelivered(error))),
             }
             let check = self
--- a/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange_error.rs
@@ -38,6 +38,11 @@
         /// Error of the connection.
         error: io::Error,
     },
+    /// The endpoint ended an answer without a length, and nobody knows whether it took the request.
+    #[error(
+        "the answer ended at a peer of an earlier build, which knows nothing of the request's end"
+    )]
+    UnconfirmedEnd,
     /// The connection ended before the answer was complete.
     #[error("the connection ended before the answer was whole")]
     Truncated,
--- a/crates/apricotknot-gateway/src/relay/relay_session.rs
+++ b/crates/apricotknot-gateway/src/relay/relay_session.rs
@@ -1,6 +1,5 @@
 //! Relays one connection to an endpoint for another node.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,8 +13,11 @@
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 
+use super::RelayEnd;
 use super::RelayError;
 use super::RelayRefusal;
+use super::RelayedRequest;
+use super::relay_message::EndMode;
 use super::relay_message::ReceivedOpening;
 use super::relay_message::receive_opening;
 use super::relay_message::send_answer;
@@ -38,27 +40,6 @@
 /// can read the rest.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How a relayed connection ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RelayEnd {
-    /// The endpoint has closed its connection.
-    EndpointClosed,
-    /// The connection to the endpoint broke.
-    EndpointBroken,
-    /// The node has closed its connection, or it broke.
-    NodeClosed,
-}
-
-impl RelayEnd {
-    fn name(self) -> &'static str {
-        match self {
-            Self::EndpointClosed => "endpoint_closed",
-            Self::EndpointBroken => "endpoint_broken",
-            Self::NodeClosed => "node_closed",
-        }
-    }
-}
-
 /// Serves one connection of another node.
 pub struct RelaySession<P> {
     context: TrafficContext<P>,
@@ -103,12 +84,13 @@
             return;
         };
         self.context.metrics.open_relays.inc();
-        let (end, bytes) = relay(&mut self.node, target).await;
+        let request = RelayedRequest::new(received.end_mode);
+        let (end, bytes) = relay(&mut self.node, target, &request).await;
         self.context.metrics.open_relays.dec();
         info!(
             self.context.logger, "relay: over";
             "node" => &*received.opening.node, "endpoint" => &*endpoint, "end" => end.name(),
-            "bytes" => bytes
+            "bytes" => bytes, "held_back_for" => request.held_back_for()
         );
     }
 
@@ -140,14 +122,17 @@
 }
 
 /// Passes bytes on in both directions; returns how it ended, and the bytes of the answer.
-async fn relay(node: &mut TcpStream, mut target: TcpStream) -> (RelayEnd, u64) {
+async fn relay(
+    node: &mut TcpStream,
+    mut target: TcpStream,
+    request: &RelayedRequest,
+) -> (RelayEnd, u64) {
     let (mut from_node, to_node) = node.split();
     let (from_target, to_target) = target.split();
     let mut bytes = 0;
-    let is_broken = Cell::new(false);
     let end = tokio::select! {
-        () = send_request(&mut from_node, to_target, &is_broken) => RelayEnd::NodeClosed,
-        end = return_answer(from_target, to_node, &is_broken, &mut bytes) => end,
+        () = send_request(&mut from_node, to_target, request) => RelayEnd::NodeClosed,
+        end = return_answer(from_target, to_node, request, &mut bytes) => end,
     };
     if end != RelayEnd::NodeClosed {
         // Closing a connection with unread input resets it, and the node loses the answer.
@@ -158,42 +143,54 @@
 
 /// Passes the bytes of the node on, until it closes its connection.
 ///
-/// An endpoint may answer without reading the rest of the request, which is discarded then. Sets
-/// `is_broken` if the connection to the endpoint fails: the kernel reports a reset once, and the
-/// other direction sees an orderly end.
+/// An endpoint may answer without reading the rest of the request, which is discarded then. Bytes
+/// behind the request are discarded as well.
 async fn send_request(
     from_node: &mut ReadHalf<'_>,
     mut to_target: WriteHalf<'_>,
-    is_broken: &Cell<bool>,
+    request: &RelayedRequest,
 ) {
+    if request.end_mode() == EndMode::Confirmed {
+        match from_node.read_u64().await {
+            Ok(length) => request.set_length(length),
+            Err(_) => return,
+        }
+    }
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count @ 1..) = from_node.read(&mut buffer).await {
+        let count = request.bytes_left(count);
         if to_target.write_all(&buffer[..count]).await.is_err() {
-            is_broken.set(true);
+            request.mark_broken();
             return discard(from_node).await;
         }
+        request.count_sent(count);
     }
 }
 
 /// Passes the bytes of the endpoint on in frames, until it closes its connection.
 ///
-/// The end of a connection that `is_broken` is not passed on as the end of the answer.
+/// The end of the connection is passed on as the end of the answer only if the endpoint took the
+/// request, as far as this node knows it.
 async fn return_answer(
     mut from_target: ReadHalf<'_>,
     mut to_node: WriteHalf<'_>,
-    is_broken: &Cell<bool>,
+    request: &RelayedRequest,
     bytes: &mut u64,
 ) -> RelayEnd {
     let mut frame = vec![0; FRAME_HEAD_BYTES + BUFFER_BYTES];
     loop {
-        let count = match from_target.read(&mut frame[FRAME_HEAD_BYTES..]).await {
-            Ok(count) if count > 0 || !is_broken.get() => count,
-            Ok(_) | Err(_) => {
-                // Without an empty frame before it, this is not the end of the answer.
-                let _ = to_node.shutdown().await;
-                return RelayEnd::EndpointBroken;
-            },
+        let read = from_target.read(&mut frame[FRAME_HEAD_BYTES..]).await;
+        let broken = match read {
+            Ok(0) => request.wait_taken(from_target.as_ref()).await.err(),
+            Ok(_) => None,
+            Err(_) => Some(RelayEnd::EndpointBroken),
         };
+        if let Some(end) = broken {
+            // Without an empty frame before it, this is not the end of the answer.
+            let _ = to_node.shutdown().await;
+            return end;
+        }
+        let count = read.unwrap_or_default();
         let length = u16::try_from(count).unwrap_or(u16::MAX);
         frame[..FRAME_HEAD_BYTES].copy_from_slice(&length.to_be_bytes());
         if write_frame(&mut to_node, &frame[..FRAME_HEAD_BYTES + count]).await.is_err() {
--- a/crates/apricotknot-gateway/src/relay/relayed_stream.rs
+++ b/crates/apricotknot-gateway/src/relay/relayed_stream.rs
@@ -1,7 +1,8 @@
 //! Connection to an endpoint through a peer, as the node that uses it sees it.
 //!
-//! Bytes to the endpoint are sent as they are. Bytes from the endpoint come in frames: a length of
-//! two bytes, and so many bytes. An empty frame states that the endpoint has closed its connection.
+//! Bytes to the endpoint are sent as they are, after their number if the peer agreed to that. Bytes from
+//! the endpoint come in frames: a length of two bytes, and so many bytes. An empty frame states that the
+//! endpoint has closed its connection, and in [`EndMode::Confirmed`] that it took the whole request.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,14 +14,18 @@
 
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::NodeId;
+use bytes::Buf;
+use bytes::Bytes;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
 use super::RelayError;
+use super::relay_message::EndMode;
 use super::relay_message::RelayOpening;
 use super::relay_message::send_opening;
+use crate::endpoint::Delivery;
 use crate::endpoint::set_socket_options;
 use crate::peers::DatagramSeal;
 
@@ -42,6 +47,9 @@
     /// Bytes of the present frame that have not arrived yet.
     frame_left: usize,
     has_ended: bool,
+    end_mode: EndMode,
+    /// Length of the request, as far as it has not been sent yet.
+    request_length: Bytes,
 }
 
 impl RelayedStream {
@@ -60,13 +68,44 @@
         let open = async {
             let mut stream = TcpStream::connect(address).await?;
             set_socket_options(&stream)?;
-            send_opening(&mut stream, &opening, seal).await?;
-            Ok::<_, RelayError>(stream)
+            let end_mode = send_opening(&mut stream, &opening, seal).await?;
+            Ok::<_, RelayError>((stream, end_mode))
         };
         let opened = tokio::time::timeout(OPEN_TIMEOUT, open).await;
-        let stream = opened.map_err(|_| RelayError::Timeout(OPEN_TIMEOUT))??;
-        let head = [0; FRAME_HEAD_BYTES];
-        Ok(Self { stream, head, head_length: 0, frame_left: 0, has_ended: false })
+        let (stream, end_mode) = opened.map_err(|_| RelayError::Timeout(OPEN_TIMEOUT))??;
+        Ok(Self {
+            stream,
+            head: [0; FRAME_HEAD_BYTES],
+            head_length: 0,
+            frame_left: 0,
+            has_ended: false,
+            end_mode,
+            request_length: Bytes::new(),
+        })
+    }
+
+    /// States the number of bytes that will be written; call it once, before any of them.
+    pub fn state_request_length(&mut self, bytes: u64) {
+        if self.end_mode == EndMode::Confirmed {
+            self.request_length = Bytes::copy_from_slice(&bytes.to_be_bytes());
+        }
+    }
+
+    /// Returns what has become of the request, once the peer has stated the end of the answer.
+    pub(crate) fn delivery(&self) -> Delivery {
+        match self.end_mode {
+            EndMode::Immediate => Delivery::Unknown,
+            EndMode::Confirmed => Delivery::Acknowledged,
+        }
+    }
+
+    fn poll_send_length(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.request_length.is_empty() {
+            let stream = Pin::new(&mut self.stream);
+            let count = ready!(stream.poll_write(context, &self.request_length))?;
+            self.request_length.advance(count);
+        }
+        Poll::Ready(Ok(()))
     }
 
     /// Reads until the head of the next frame is complete.
@@ -118,10 +157,12 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_send_length(context))?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_send_length(context))?;
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/apricotknot-gateway/tests/relay.rs
+++ b/crates/apricotknot-gateway/tests/relay.rs
@@ -4,125 +4,23 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::ServiceConfig;
-use apricotknot_core::fleet::EndpointEntry;
 use apricotknot_core::fleet::EndpointPhase;
-use apricotknot_core::intake::IntakeLimits;
-use apricotknot_gateway::GatewayMetrics;
-use apricotknot_gateway::clock::BootClock;
-use apricotknot_gateway::control::SharedState;
-use apricotknot_gateway::control::StalenessLimits;
-use apricotknot_gateway::driver::TrafficContext;
-use apricotknot_gateway::endpoint::AnswerBudget;
-use apricotknot_gateway::intake::IntakeControl;
-use apricotknot_gateway::intake::IntakeMetrics;
 use apricotknot_gateway::peers::DatagramSeal;
-use apricotknot_gateway::peers::PeerSeals;
-use apricotknot_gateway::protocol::RecordChange;
 use apricotknot_gateway::relay::RelayError;
 use apricotknot_gateway::relay::RelayRefusal;
-use apricotknot_gateway::relay::RelaySession;
 use apricotknot_gateway::relay::RelayedStream;
-use slog::Discard;
-use slog::Logger;
-use slog::o;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
-use support::test_node::NOW;
-use support::test_node::TestNode;
-use support::test_node::desired;
-use support::test_node::entry;
-use support::test_node::update_of;
-
-const SECRET: &[u8] = b"secret of the fleet";
+use support::relaying_node::Relay;
+use support::relaying_node::SECRET;
 
 /// Answer of an endpoint, without a length: it ends with its connection.
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nwhole answer";
 
-/// A node that relays, and the endpoint `engine-0`.
-struct Relay {
-    address: SocketAddr,
-    endpoint: TcpListener,
-    shared: Arc<SharedState>,
-    metrics: Arc<GatewayMetrics>,
-    /// Accepts connections of nodes; ends all of them when it is aborted.
-    sessions: JoinHandle<()>,
-}
-
-impl Relay {
-    async fn start(phase: EndpointPhase) -> Self {
-        let endpoint = TcpListener::bind("127.0.0.1:0").await.expect("an endpoint");
-        let address = endpoint.local_addr().expect("its address");
-        let mut node = TestNode::new();
-        let records = vec![
-            RecordChange::Configuration(Box::new(desired(1))),
-            RecordChange::EndpointAnnounced(EndpointEntry { address, phase, ..entry(0) }),
-        ];
-        node.state.apply_snapshot(update_of(records), NOW);
-        let limits = StalenessLimits { max_admit_age: Duration::MAX, max_deny_age: Duration::MAX };
-        let shared = Arc::new(SharedState::new(limits));
-        let mut seals = PeerSeals::default();
-        seals.set_secret(SECRET);
-        shared.set_peer_seals(seals);
-        let metrics = Arc::new(GatewayMetrics::new());
-        let context = TrafficContext {
-            node: "relay".into(),
-            reserved_idle_time: Duration::from_secs(9),
-            counts_usage: false,
-            protocol: (),
-            http: ServiceConfig::default(),
-            shared: Arc::clone(&shared),
-            control: node.handle.clone(),
-            clock: BootClock,
-            answer_budget: Arc::new(AnswerBudget::new(1_024 * 1_024)),
-            metrics: Arc::clone(&metrics),
-            logger: Logger::root(Discard, o!()),
-        };
-        actix_rt::spawn(async move {
-            loop {
-                node.process_commands(NOW);
-                tokio::time::sleep(Duration::from_millis(1)).await;
-            }
-        });
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let address = listener.local_addr().expect("its address");
-        let limits = IntakeLimits::new(1_024, 1_024);
-        let logger = Logger::root(Discard, o!());
-        let intake = IntakeControl::new("peers", limits, IntakeMetrics::default(), logger);
-        let sessions = actix_rt::spawn(async move {
-            let mut sessions = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let session = RelaySession::new(context.clone(), stream, intake.open());
-                sessions.spawn_local(session.run());
-            }
-        });
-        Self { address, endpoint, shared, metrics, sessions }
-    }
-
-    async fn open(&self) -> Result<RelayedStream, RelayError> {
-        self.open_with(SECRET, "engine-0").await
-    }
-
-    async fn open_with(&self, secret: &[u8], endpoint: &str) -> Result<RelayedStream, RelayError> {
-        let seal = DatagramSeal::new(secret).expect("a seal");
-        RelayedStream::open(self.address, "node".into(), endpoint.into(), &seal).await
-    }
-
-    async fn open_both(&self) -> (RelayedStream, TcpStream) {
-        let stream = self.open().await.expect("a relayed connection");
-        let (accepted, _) = self.endpoint.accept().await.expect("a connection at the endpoint");
-        (stream, accepted)
-    }
-}
-
 fn refusal(opened: Result<RelayedStream, RelayError>) -> Option<RelayRefusal> {
     opened.err().and_then(|error| error.refusal())
 }
@@ -130,8 +28,8 @@
 #[actix_rt::test]
 async fn request_and_answer_pass_unchanged() {
     let relay = Relay::start(EndpointPhase::Ready).await;
-    let (mut stream, mut endpoint) = relay.open_both().await;
     let request: Vec<u8> = (0..100_000_u32).map(|number| number.to_le_bytes()[0]).collect();
+    let (mut stream, mut endpoint) = relay.open_both(request.len()).await;
     let sent = request.clone();
     let answering = actix_rt::spawn(async move {
         let mut received = vec![0; sent.len()];
@@ -148,7 +46,7 @@
 #[actix_rt::test]
 async fn end_of_the_relaying_node_is_not_the_end_of_an_answer() {
     let relay = Relay::start(EndpointPhase::Ready).await;
-    let (mut stream, mut endpoint) = relay.open_both().await;
+    let (mut stream, mut endpoint) = relay.open_both(0).await;
     endpoint.write_all(ANSWER).await.expect("the answer is sent");
     let mut answer = vec![0; ANSWER.len()];
     stream.read_exact(&mut answer).await.expect("the bytes of the answer");
@@ -160,7 +58,7 @@
 #[actix_rt::test]
 async fn answer_that_an_endpoint_breaks_off_does_not_end_as_complete() {
     let relay = Relay::start(EndpointPhase::Ready).await;
-    let (mut stream, mut endpoint) = relay.open_both().await;
+    let (mut stream, mut endpoint) = relay.open_both(0).await;
     endpoint.write_all(ANSWER).await.expect("the answer is sent");
     let mut answer = vec![0; ANSWER.len()];
     stream.read_exact(&mut answer).await.expect("the bytes of the answer");
@@ -177,9 +75,9 @@
     let relay = Relay::start(EndpointPhase::Ready).await;
     socket2::SockRef::from(&relay.endpoint).set_recv_buffer_size(4_096).expect("an option");
     for round in 0..16 {
-        let (stream, mut endpoint) = relay.open_both().await;
-        let (mut input, mut output) = tokio::io::split(stream);
         let request = vec![b'x'; 16 * 1_024 * 1_024];
+        let (stream, mut endpoint) = relay.open_both(request.len()).await;
+        let (mut input, mut output) = tokio::io::split(stream);
         let sending = actix_rt::spawn(async move { output.write_all(&request).await });
         endpoint.write_all(ANSWER).await.expect("the answer is sent");
         let mut answer = vec![0; ANSWER.len()];
@@ -195,7 +93,7 @@
 #[actix_rt::test]
 async fn endpoint_learns_at_once_that_the_node_has_left() {
     let relay = Relay::start(EndpointPhase::Ready).await;
-    let (mut stream, mut endpoint) = relay.open_both().await;
+    let (mut stream, mut endpoint) = relay.open_both(18).await;
     stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the request is sent");
     let mut received = [0; 18];
     endpoint.read_exact(&mut received).await.expect("the request");
@@ -216,7 +114,7 @@
 #[actix_rt::test]
 async fn node_that_stops_relays_nothing_new() {
     let relay = Relay::start(EndpointPhase::Ready).await;
-    let (mut stream, mut endpoint) = relay.open_both().await;
+    let (mut stream, mut endpoint) = relay.open_both(0).await;
     relay.shared.mark_stopping(Duration::from_secs(1));
     assert_eq!(refusal(relay.open().await), Some(RelayRefusal::Stopping));
     endpoint.write_all(ANSWER).await.expect("the answer is sent");
--- a/crates/apricotknot-gateway/tests/support/mod.rs
+++ b/crates/apricotknot-gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #[allow(dead_code, reason = "not every test plays limits")]
 pub(crate) mod rate_fleet;
+#[allow(dead_code, reason = "not every test relays")]
+pub(crate) mod relaying_node;
 #[allow(dead_code, reason = "not every test needs one node only")]
 pub(crate) mod test_node;
 
