driver: the rest of an accepted upload is sent after the answer

PROTOCOL: "The method, path and body are forwarded unchanged".

Cause: the driver drops the exchange with the complete answer, and with it the rest of the body. Ruled out: a reset by unread input, as the endpoint sends nothing after its answer.

Change: after an answer of success whose request is not sent yet, the exchange goes on in a task of its own until the other side has acknowledged all of it, to the deadline of the call or the end of the node. The caller's answer and next request do not wait. The body's memory stays counted (an entry of its own in the account of callers), and a stopping node waits for it. Not for other statuses.

--- a/crates/apricotknot-core/src/intake/intake_table.rs
+++ b/crates/apricotknot-core/src/intake/intake_table.rs
@@ -191,6 +191,17 @@
         true
     }
 
+    /// Adds an entry for a request that goes on beside its connection; it takes over what that holds.
+    pub fn split_off(&mut self, id: IntakeId, now: MonotonicTime) -> IntakeId {
+        let other = self.open(now);
+        self.serve(other);
+        let held = self.entries.get_mut(&id).map(|entry| std::mem::take(&mut entry.held));
+        if let Some(entry) = self.entries.get_mut(&other) {
+            entry.held = held.unwrap_or_default();
+        }
+        other
+    }
+
     /// Records that a request has ended, and gives back what it held.
     pub fn finish(&mut self, id: IntakeId, now: MonotonicTime) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
--- a/crates/apricotknot-core/tests/intake.rs
+++ b/crates/apricotknot-core/tests/intake.rs
@@ -37,6 +37,22 @@
     assert_eq!(table.grow(small, 101 * KIB, at(2_000)), Ok(Vec::new()));
 }
 
+/// Guards against the body of an upload that is sent on after its answer, and counts for nobody.
+#[test]
+fn memory_of_a_request_that_goes_on_beside_its_connection_is_held() {
+    let mut table = table();
+    let caller = open(&mut table, 800 * KIB, at(0));
+    assert!(table.serve(caller));
+    let rest = table.split_off(caller, at(10));
+    table.finish(caller, at(20));
+    assert_eq!((table.used(), table.connections()), (800 * KIB, 2));
+    let next = table.open(at(5_000));
+    let refused = table.grow(next, 200 * KIB, at(5_000));
+    assert!(matches!(refused, Err(IntakeRefusal::Spent { .. })), "it gives way to none");
+    table.close(rest);
+    assert_eq!((table.used(), table.grow(next, 200 * KIB, at(5_010))), (0, Ok(Vec::new())));
+}
+
 #[test]
 fn body_that_gets_on_never_gives_way() {
     let mut table = table();
--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -140,6 +140,11 @@
         self.intake.serve()
     }
 
+    /// Returns the room of the request, whose body is needed beyond its answer.
+    pub fn split_off_request(&self) -> IntakeConnection {
+        self.intake.split_off()
+    }
+
     /// Gives back the memory of the request that was answered.
     pub fn finish_request(&mut self) {
         self.intake.finish();
--- a/crates/apricotknot-gateway/src/driver/buffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/buffered_relay.rs
@@ -75,6 +75,9 @@
         } else {
             self.record_answer_begun(&open);
             self.record_answered(&mut open);
+            if head.status.is_success() {
+                self.finish_attempt_request(open);
+            }
         }
         self.drop_standby();
         self.write_answer(head, body).map_err(|_| CallInterrupt::CallerDisconnected)
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -150,6 +150,7 @@
         self.begin_answer(head)?;
         self.runs += 1;
         self.record_answered(&mut open);
+        self.finish_attempt_request(open);
         self.connection.finish_answer().map_err(|_| CallInterrupt::CallerDisconnected)
     }
 
--- a/crates/apricotknot-gateway/src/driver/mod.rs
+++ b/crates/apricotknot-gateway/src/driver/mod.rs
@@ -12,11 +12,13 @@
 mod endpoint_access;
 mod event_relay;
 mod fingerprint;
+mod open_call;
 mod placement;
 mod reservation;
 mod session;
 mod standby;
 mod unbuffered_relay;
+mod upload_rest;
 mod usage_count;
 
 pub use admitted_call::AdmittedCall;
--- a/crates/apricotknot-gateway/src/driver/session.rs
+++ b/crates/apricotknot-gateway/src/driver/session.rs
@@ -1,10 +1,8 @@
 //! Session of one caller's connection: it serves the requests one after the other.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicI64;
 
 use actix_rt::net::TcpStream;
-use prometheus_client::metrics::gauge::Gauge;
 use slog::info;
 
 use super::AdmittedCall;
@@ -12,8 +10,8 @@
 use super::CallOutcome;
 use super::TrafficContext;
 use super::call_driver::CallDriver;
+use super::open_call::OpenCall;
 use crate::CallLabels;
-use crate::GatewayMetrics;
 use crate::caller::CallerConnection;
 use crate::caller::ConnectionError;
 use crate::caller::IncomingRequest;
@@ -24,24 +22,6 @@
 /// Value of the metrics label `kind` for calls without a route.
 const NO_KIND: &str = "none";
 
-/// Counts a call as open until it is dropped, also if its task ends early.
-struct OpenCall {
-    open_calls: Gauge<i64, AtomicI64>,
-}
-
-impl OpenCall {
-    fn begin(metrics: &GatewayMetrics) -> Self {
-        metrics.open_calls.inc();
-        Self { open_calls: metrics.open_calls.clone() }
-    }
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        self.open_calls.dec();
-    }
-}
-
 /// Serves the requests of one connection.
 pub struct CallerSession<P> {
     context: TrafficContext<P>,
--- a/crates/apricotknot-gateway/src/driver/unbuffered_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/unbuffered_relay.rs
@@ -59,6 +59,9 @@
         }
         self.runs += 1;
         self.record_answered(&mut open);
+        if head.status.is_success() {
+            self.finish_attempt_request(open);
+        }
         self.connection.finish_answer().map_err(|_| CallInterrupt::CallerDisconnected)
     }
 
--- a/crates/apricotknot-gateway/src/endpoint/connection.rs
+++ b/crates/apricotknot-gateway/src/endpoint/connection.rs
@@ -64,6 +64,19 @@
         }
     }
 
+    /// Returns what has become of the bytes that were sent, at the other side of this node's own
+    /// connection: the endpoint, or the peer that relays.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with which the connection failed.
+    pub(super) fn sent_delivery(&self) -> io::Result<Delivery> {
+        match self {
+            Self::Direct(stream) => delivery(stream),
+            Self::Relayed { stream, .. } => stream.sent_delivery(),
+        }
+    }
+
     /// States the length of the request, in bytes, before it is sent.
     pub(super) fn state_request_length(&mut self, bytes: u64) {
         if let Self::Relayed { stream, .. } = self {
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -89,6 +89,8 @@
     ///
     /// The kernel reports a reset once: after the sender was told, the receiver sees an orderly end.
     send_error: Option<io::Error>,
+    /// Whether the other side has closed the connection.
+    has_ended: bool,
     /// Bytes that the endpoint had not acknowledged when the end of its answer was last looked at.
     outstanding_bytes: u64,
     /// Time until they are looked at again, while the end of the answer is held back for them.
@@ -140,6 +142,7 @@
             framing,
             head_bytes: 0,
             send_error: None,
+            has_ended: false,
             outstanding_bytes: 0,
             next_check: None,
         })
@@ -168,6 +171,24 @@
         self.connection.relayed_by()
     }
 
+    /// Returns the bytes of the request that this node's kernel has not taken.
+    pub fn unsent_bytes(&self) -> usize {
+        self.output.len() + self.body_left.len()
+    }
+
+    /// Sends the rest of the request after a complete answer, and waits until the other side of the
+    /// connection has acknowledged it.
+    ///
+    /// What the endpoint sends meanwhile is discarded: to close a connection with unread input resets
+    /// it, and the rest of the request is lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the connection took no more.
+    pub async fn finish_request(&mut self) -> Result<(), ExchangeError> {
+        poll_fn(|context| self.poll_finish(context)).await
+    }
+
     /// Returns the bytes of the request for which the end of the answer is held back.
     ///
     /// Returns `None` if no end is held back. See [`Self::poll_delivered`].
@@ -292,8 +313,33 @@
     /// the request arrives; until then only the missing acknowledgement differs. The wait is ended by
     /// the acknowledgement, by an error of the connection, or by the caller of the exchange.
     fn poll_delivered(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ExchangeError>> {
+        self.poll_acknowledged(context, EndpointConnection::delivery)
+    }
+
+    fn poll_finish(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ExchangeError>> {
+        let sending = self.poll_send(context);
+        if let Some(error) = self.send_error.take() {
+            return Poll::Ready(Err(ExchangeError::Broken(error)));
+        }
+        while !self.has_ended {
+            self.input.clear();
+            match self.poll_receive(context)? {
+                Poll::Ready(is_open) => self.has_ended = !is_open,
+                Poll::Pending => break,
+            }
+        }
+        ready!(sending);
+        self.poll_acknowledged(context, EndpointConnection::sent_delivery)
+    }
+
+    /// Waits until all bytes that were sent are acknowledged, as `look` tells it.
+    fn poll_acknowledged(
+        &mut self,
+        context: &mut Context<'_>,
+        look: impl Fn(&EndpointConnection) -> io::Result<Delivery>,
+    ) -> Poll<Result<(), ExchangeError>> {
         loop {
-            match self.connection.delivery() {
+            match look(&self.connection) {
                 Ok(Delivery::Acknowledged) => {
                     self.next_check = None;
                     return Poll::Ready(Ok(()));
--- a/crates/apricotknot-gateway/src/intake/intake_connection.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_connection.rs
@@ -61,6 +61,13 @@
         self.control.update(|table, _| table.serve(self.id))
     }
 
+    /// Returns the room of the request that goes on beside the connection, with its memory.
+    ///
+    /// It gives way to none, and counts as a connection until it is dropped.
+    pub fn split_off(&self) -> Self {
+        self.control.split_off(self.id)
+    }
+
     /// Records that the request has ended, and gives back its memory.
     pub fn finish(&self) {
         self.control.update(|table, now| table.finish(self.id, now));
--- a/crates/apricotknot-gateway/src/intake/intake_control.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_control.rs
@@ -94,9 +94,21 @@
 
     /// Adds an accepted connection.
     pub fn open(self: &Arc<Self>) -> IntakeConnection {
+        self.add(|table, now| table.open(now))
+    }
+
+    /// Adds a request that goes on beside the connection `id`, and takes over what that holds.
+    pub(super) fn split_off(self: &Arc<Self>, id: IntakeId) -> IntakeConnection {
+        self.add(|table, now| table.split_off(id, now))
+    }
+
+    fn add(
+        self: &Arc<Self>,
+        open: impl FnOnce(&mut IntakeTable, MonotonicTime) -> IntakeId,
+    ) -> IntakeConnection {
         let signal = Arc::new(GiveWaySignal::default());
         let mut state = self.state();
-        let id = state.table.open(self.clock.now());
+        let id = open(&mut state.table, self.clock.now());
         state.signals.insert(id, Arc::clone(&signal));
         drop(state);
         IntakeConnection::new(Arc::clone(self), id, signal)
--- a/crates/apricotknot-gateway/src/relay/relayed_stream.rs
+++ b/crates/apricotknot-gateway/src/relay/relayed_stream.rs
@@ -26,6 +26,7 @@
 use super::relay_message::RelayOpening;
 use super::relay_message::send_opening;
 use crate::endpoint::Delivery;
+use crate::endpoint::delivery;
 use crate::endpoint::set_socket_options;
 use crate::peers::DatagramSeal;
 
@@ -99,6 +100,15 @@
         }
     }
 
+    /// Returns what the peer has taken of the bytes that were sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with which the connection to the peer failed.
+    pub(crate) fn sent_delivery(&self) -> io::Result<Delivery> {
+        delivery(&self.stream)
+    }
+
     fn poll_send_length(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.request_length.is_empty() {
             let stream = Pin::new(&mut self.stream);
--- a/crates/apricotknot-gateway/tests/relayed_answers.rs
+++ b/crates/apricotknot-gateway/tests/relayed_answers.rs
@@ -202,6 +202,28 @@
     }
 }
 
+/// Guards against the rest of an accepted upload that is lost at the peer: the answer has a length, and
+/// its endpoint reads on.
+#[actix_rt::test]
+async fn accepted_upload_arrives_whole_through_a_peer() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nanswer";
+    let relay = start_relay().await;
+    let body_length = 16 * UPLOAD_BYTES;
+    let mut exchange = start_exchange(relay.open().await.expect("a connection"), body_length);
+    let (mut endpoint, _) = relay.endpoint.accept().await.expect("its other side");
+    let reading = actix_rt::spawn(async move {
+        endpoint.write_all(answer.as_bytes()).await.expect("the answer is sent");
+        tokio::time::sleep(PAUSE).await;
+        read_request(&mut endpoint, body_length).await;
+    });
+    exchange.read_head().await.expect("the head of the answer");
+    while exchange.read_part().await.expect("a whole answer").is_some() {}
+    assert!(exchange.unsent_bytes() > 0, "the endpoint has not read the upload yet");
+    exchange.finish_request().await.expect("the rest is sent");
+    drop(exchange);
+    reading.await.expect("the endpoint gets the whole upload");
+}
+
 /// A node of an earlier build does not say where its request ends; what has come of it counts.
 #[actix_rt::test]
 async fn node_of_an_earlier_build_is_served_as_before() {
