run: calls of plain services that wait for a grant give way when no connection is left

Change: `GrantWait` holds the rule once, and both drivers wait for their first grant by it. Seen to fail before (the driver given no connection to give up): `crowds_run::plain_calls_that_wait_on_all_descriptors`, no answer to an ordinary client within 20 s; passes now, with the test of prompts.

--- a/crates/apricotknot-standin/src/fleet/resources.rs
+++ b/crates/apricotknot-standin/src/fleet/resources.rs
@@ -72,7 +72,7 @@
         records.push(plain_service(settings));
     }
     for (name, address) in plain {
-        let spec = ResourceSpec::Endpoint(plain_endpoint(*address));
+        let spec = ResourceSpec::Endpoint(plain_endpoint(settings, *address));
         records.push(ResourceRecord::new(name.as_str(), spec));
     }
     records.extend(settings.resources.iter().cloned());
@@ -122,15 +122,15 @@
     }
 }
 
-fn plain_endpoint(address: SocketAddr) -> EndpointSpec {
+fn plain_endpoint(settings: &FleetSettings, address: SocketAddr) -> EndpointSpec {
     EndpointSpec {
         service: PLAIN_SERVICE.into(),
         data_centre: PLAIN_DATA_CENTRE.into(),
         address,
         memory_tokens: 0,
-        max_concurrent: 64,
+        max_concurrent: settings.plain_concurrent,
         cold_memory_tokens: 0,
-        cold_concurrent: 64,
+        cold_concurrent: settings.plain_concurrent,
         duty: DutyState::In,
     }
 }
--- a/crates/apricotknot-standin/src/fleet/settings.rs
+++ b/crates/apricotknot-standin/src/fleet/settings.rs
@@ -101,6 +101,7 @@
     pub(super) nodes: usize,
     pub(super) engines: Vec<EnginePlan>,
     pub(super) plain_services: usize,
+    pub(super) plain_concurrent: u32,
     pub(super) non_repeatable_paths: Vec<String>,
     pub(super) node_settings: BTreeMap<(String, String), String>,
     pub(super) resources: Vec<ResourceRecord>,
@@ -113,6 +114,7 @@
             nodes: 1,
             engines: Vec::new(),
             plain_services: 0,
+            plain_concurrent: 64,
             non_repeatable_paths: Vec::new(),
             node_settings: BTreeMap::new(),
             resources: Vec::new(),
@@ -143,6 +145,13 @@
         self
     }
 
+    /// Sets the most calls that each process of the plain service runs at a time.
+    #[must_use]
+    pub fn plain_concurrent(mut self, count: u32) -> Self {
+        self.plain_concurrent = count;
+        self
+    }
+
     /// Adds a path of the plain service whose calls are not repeatable.
     #[must_use]
     pub fn non_repeatable_path(mut self, path: impl Into<String>) -> Self {
--- a/crates/apricotknot/src/front/driver/granting.rs
+++ b/crates/apricotknot/src/front/driver/granting.rs
@@ -15,10 +15,6 @@
 use super::OpenAttempt;
 use super::RequestDriver;
 use crate::engine::EngineClient;
-use crate::front::ConnectionGuard;
-
-/// Retry delay that callers are given if their connection is needed for others.
-const GAVE_WAY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl<E: EngineClient> RequestDriver<E> {
     /// Requests a grant after `delay`, and feeds the decision to the tracker.
@@ -43,30 +39,15 @@
             excluded,
         };
         let mut pending_grant = self.context.shared.control.submit(pool, submission);
-        let room = self.room.take();
-        if let Some(room) = &room {
-            room.queue(self.profile.memory_tokens());
-        }
-        let answer = self
-            .unless_interrupted(async {
-                tokio::select! {
-                    biased;
-                    answer = pending_grant.answer() => answer,
-                    () = gave_way(room.as_deref()) => None,
-                }
-            })
-            .await;
-        let gave_way = room.is_some_and(|room| !room.leave_queue());
-        match answer {
+        let size = self.profile.memory_tokens();
+        let mut grant_wait = std::mem::take(&mut self.grant_wait);
+        let answer = grant_wait.wait(size, pending_grant.answer());
+        match self.unless_interrupted(answer).await {
             Err(event) => self.feed(event),
-            // Its connection closes after the answer, if others need it.
-            Ok(Some(Ok(ticket))) => self.accept_grant(ticket, requested_at),
-            Ok(Some(Err(notice))) => self.feed(refusal_event(&notice)),
-            Ok(None) if gave_way => self.feed(RequestEvent::GrantRefused {
-                kind: CallerErrorKind::Overloaded,
-                retry_after: Some(GAVE_WAY_RETRY_AFTER),
-            }),
-            Ok(None) => self.feed(RequestEvent::GrantRefused {
+            Ok(Err(gave_way)) => self.feed(gave_way.into()),
+            Ok(Ok(Some(Ok(ticket)))) => self.accept_grant(ticket, requested_at),
+            Ok(Ok(Some(Err(notice)))) => self.feed(refusal_event(&notice)),
+            Ok(Ok(None)) => self.feed(RequestEvent::GrantRefused {
                 kind: CallerErrorKind::NodeStopping,
                 retry_after: None,
             }),
@@ -100,14 +81,6 @@
     }
 }
 
-/// Waits until a connection has to give way; without end if there is none.
-async fn gave_way(room: Option<&ConnectionGuard>) {
-    match room {
-        Some(room) => room.gave_way().await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Maps a refusal to the event that the tracker handles.
 fn refusal_event(notice: &RefusalNotice) -> RequestEvent {
     let kind = match &notice.reason {
--- a/crates/apricotknot/src/front/driver/mod.rs
+++ b/crates/apricotknot/src/front/driver/mod.rs
@@ -20,7 +20,7 @@
 use apricotknot_core::types::RequestProfile;
 use bytes::Bytes;
 
-use super::ConnectionGuard;
+use super::GrantWait;
 use super::NodePhase;
 use super::TrafficContext;
 use super::answer::AnswerSender;
@@ -69,9 +69,8 @@
     output: AnswerSender,
     arrived_at: MonotonicTime,
     timing: AnswerTiming,
-    /// Connection of the caller, until the request is first granted an endpoint; it may have to give way
-    /// to others until then.
-    room: Option<Rc<ConnectionGuard>>,
+    /// Wait for the first grant, in which the caller's connection may have to give way to others.
+    grant_wait: GrantWait,
 }
 
 impl<E: EngineClient> RequestDriver<E> {
@@ -81,7 +80,7 @@
         profile: RequestProfile,
         call: PromptCall,
         output: AnswerSender,
-        room: Option<Rc<ConnectionGuard>>,
+        grant_wait: GrantWait,
     ) -> Self {
         let policy = TrackerPolicy {
             repeatable: true,
@@ -105,7 +104,7 @@
             output,
             arrived_at,
             timing: AnswerTiming::new(arrived_at),
-            room,
+            grant_wait,
         }
     }
 
--- a/crates/apricotknot/src/front/mod.rs
+++ b/crates/apricotknot/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod context;
 mod driver;
+mod grant_wait;
 mod guarded_body;
 mod ops;
 mod plain;
@@ -35,3 +36,5 @@
 pub use request_guard::RequestGuard;
 pub use request_guard::RequestProgress;
 pub use service::FrontService;
+
+pub(crate) use grant_wait::GrantWait;
--- a/crates/apricotknot/src/front/plain.rs
+++ b/crates/apricotknot/src/front/plain.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+use super::GrantWait;
 use super::NodePhase;
 use super::ResponseBody;
 use super::TrafficContext;
@@ -57,7 +58,7 @@
     let id = call.id;
     let (reply, outcome) = oneshot::channel();
     let ledger = context.shared.ledger.clone();
-    let driver = PlainDriver::new(context, plain_client, call, reply);
+    let driver = PlainDriver::new(context, plain_client, call, reply, GrantWait::of(request));
     actix_rt::spawn(driver.run(ledger));
     let response = match outcome.await {
         Ok(PlainOutcome::Answer(answer)) => answer_response(&answer),
--- a/crates/apricotknot/src/front/service.rs
+++ b/crates/apricotknot/src/front/service.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 
 use super::AnswerHead;
-use super::ConnectionGuard;
+use super::GrantWait;
 use super::NodePhase;
 use super::ResponseBody;
 use super::TrafficContext;
@@ -145,8 +145,8 @@
         let id = profile.id;
         let call = PromptCall { path, body, is_stream: envelope.stream };
         let (sender, head, answer) = answer_channel();
-        let room = request.conn_data::<Rc<ConnectionGuard>>().cloned();
-        let driver = RequestDriver::new(self.context.clone(), profile, call, sender, room);
+        let grant_wait = GrantWait::of(request);
+        let driver = RequestDriver::new(self.context.clone(), profile, call, sender, grant_wait);
         actix_rt::spawn(driver.run());
         let response = match head.await {
             Ok(AnswerHead::Started { content_type }) => answer_response(&content_type, answer),
--- a/crates/apricotknot/src/plain/driver.rs
+++ b/crates/apricotknot/src/plain/driver.rs
@@ -40,6 +40,7 @@
 use super::grant::refusal_event;
 use super::ledger_task::ledger_time;
 use crate::control::ControlCommand;
+use crate::front::GrantWait;
 use crate::front::NodePhase;
 use crate::front::SharedContext;
 use crate::front::TrafficContext;
@@ -54,6 +55,9 @@
 /// Time after the deadline during which the answer to a call in the ledger is still recorded.
 const LATE_ANSWER_TIME: Duration = Duration::from_secs(30);
 
+/// Size of a plain call among the requests that wait for an endpoint: it holds no tokens of memory.
+const PLAIN_CALL_SIZE: u64 = 0;
+
 /// Value of the outcome label of a call that was answered.
 const ANSWERED_CODE: &str = "answered";
 
@@ -78,6 +82,8 @@
     client: P,
     call: PlainCall,
     reply: oneshot::Sender<PlainOutcome>,
+    /// Wait for the first grant, in which the caller's connection may have to give way to others.
+    grant_wait: GrantWait,
     tracker: RequestTracker,
     /// Actions of the tracker that have not been performed.
     actions: VecDeque<RequestAction>,
@@ -92,11 +98,12 @@
 
 impl<E, P: PlainClient> PlainDriver<E, P> {
     /// Creates the driver of one call, which sends its outcome to `reply`.
-    pub fn new(
+    pub(crate) fn new(
         context: Rc<TrafficContext<E>>,
         client: P,
         call: PlainCall,
         reply: oneshot::Sender<PlainOutcome>,
+        grant_wait: GrantWait,
     ) -> Self {
         let policy = TrackerPolicy {
             repeatable: call.repeatable,
@@ -114,6 +121,7 @@
             client,
             call,
             reply,
+            grant_wait,
             tracker,
             actions: actions.into(),
             ledger_call: None,
@@ -222,9 +230,12 @@
             excluded,
         };
         let mut pending_grant = self.shared.control.submit(pool, submission);
-        match self.unless_interrupted(pending_grant.answer()).await {
+        let mut grant_wait = std::mem::take(&mut self.grant_wait);
+        let answer = grant_wait.wait(PLAIN_CALL_SIZE, pending_grant.answer());
+        match self.unless_interrupted(answer).await {
             Err(event) => self.feed(event),
-            Ok(Some(Ok(ticket))) => {
+            Ok(Err(gave_way)) => self.feed(gave_way.into()),
+            Ok(Ok(Some(Ok(ticket)))) => {
                 // The owner of the pool decided no earlier than `requested_at + queued_for`, so the
                 // grant is not used after it has expired at the owner.
                 let send_before = requested_at + ticket.queued_for + ticket.start_within;
@@ -232,8 +243,8 @@
                 self.grant = Some(OpenGrant { ticket, send_before });
                 self.feed(RequestEvent::Granted { attempt, endpoint });
             },
-            Ok(Some(Err(notice))) => self.feed(refusal_event(&notice)),
-            Ok(None) => {
+            Ok(Ok(Some(Err(notice)))) => self.feed(refusal_event(&notice)),
+            Ok(Ok(None)) => {
                 let kind = CallerErrorKind::NodeStopping;
                 self.feed(RequestEvent::GrantRefused { kind, retry_after: None });
             },
--- a/crates/apricotknot/tests/crowds_run.rs
+++ b/crates/apricotknot/tests/crowds_run.rs
@@ -339,6 +339,56 @@
     check_crowd(Interface::Callers, 125, &Interface::Callers.mixture()).await;
 }
 
+/// Starts a node with few descriptors and a plain service that answers `concurrent` calls at a time,
+/// each after `delay_ms` milliseconds.
+async fn start_slow_service(concurrent: u32, delay_ms: u64) -> FleetHarness {
+    let settings = FleetSettings::default()
+        .engine(EnginePlan::default())
+        .plain_services(1)
+        .plain_concurrent(concurrent)
+        .max_descriptors(FEW_DESCRIPTORS);
+    let fleet = FleetHarness::start(settings).await.expect("the fleet starts");
+    let faults = serde_json::json!({"delay_ms": delay_ms});
+    let path = "/standin/fault";
+    let set = fleet.client.post(fleet.plain[0].address, path, &Vec::new(), &faults).await;
+    assert_eq!(set.expect("an answer of the service").status, 200);
+    fleet
+}
+
+/// Starts callers of the plain service on all connections that the node takes.
+async fn start_plain_callers(fleet: &FleetHarness, count: usize) -> Crowd {
+    let call = format!(
+        "GET /booking/x HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {}\r\n\r\n",
+        FleetHarness::ACCOUNT_KEY
+    );
+    Crowd::start(fleet.nodes[0].callers, count, &[ClientScript::start(call)])
+}
+
+async fn status_of(fleet: &FleetHarness, address: SocketAddr, path: &str) -> Option<u16> {
+    let account = FleetHarness::account_headers();
+    let call = fleet.client.call(actix_http::Method::GET, address, path, &account, "");
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, call).await.expect("an answer in time");
+    answer.map(|answer| answer.status).ok()
+}
+
+/// Guards against a node that takes no client, as calls of a plain service that wait for a grant hold
+/// all connections until their deadlines.
+#[actix_rt::test]
+#[expect(clippy::await_holding_lock, reason = "each test has a thread of its own")]
+async fn plain_calls_that_wait_on_all_descriptors() {
+    let _only = be_only_crowd();
+    let fleet = start_slow_service(1, 2_000).await;
+    let crowd = start_plain_callers(&fleet, HOLDERS).await;
+    let crowd = tokio::task::spawn_blocking(move || {
+        crowd.wait_sent();
+        crowd
+    });
+    let crowd = crowd.await.expect("the crowd sends");
+    let status = status_of(&fleet, fleet.nodes[0].callers, "/v1/models").await;
+    drop(tokio::task::spawn_blocking(|| crowd.release()).await);
+    assert_eq!(status, Some(200), "{}", fleet.node_log_tail(0));
+}
+
 /// Guards against a node that says it is ready and takes no client, as prompts that wait for an engine
 /// hold all connections until their deadlines.
 #[actix_rt::test]
