run: a node without room for callers is not ready

Change: the account of the callers' connections is part of the shared state, and both `/readyz` ask it. `IntakeControl::is_full` decides for gateways and `run`; it looks whether there is room by now, as `run` looks for room only while a connection waits. Seen to fail before: `crowds_run::node_without_room_for_callers_is_not_ready` (200 throughout); passes now, also as it becomes ready again.

--- a/crates/apricotknot-gateway/src/intake/intake_control.rs
+++ b/crates/apricotknot-gateway/src/intake/intake_control.rs
@@ -26,6 +26,9 @@
 /// Longest time between two looks whether a connection may be accepted.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time without room for a connection after which clients had better go elsewhere.
+const MAX_FULL_TIME: Duration = Duration::from_millis(500);
+
 /// Shortest time between two lines of the log.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -125,10 +128,12 @@
         has_room
     }
 
-    /// Returns for how long no connection could be accepted.
-    pub fn full_time(&self) -> Duration {
-        let full_since = self.state().full_since;
-        full_since.map_or(Duration::ZERO, |since| self.clock.now().saturating_sub(since))
+    /// Returns whether no connection could be accepted for so long that others had better go elsewhere.
+    pub fn is_full(&self) -> bool {
+        let state = self.state();
+        // Connections that left since did not make the table look for room.
+        let full_since = state.full_since.filter(|_| !state.table.has_room());
+        full_since.is_some_and(|since| self.clock.now() >= since + MAX_FULL_TIME)
     }
 
     pub(super) fn grow(&self, id: IntakeId, held: usize) -> Result<(), IntakeRefusal> {
--- a/crates/apricotknot-gateway/src/operations.rs
+++ b/crates/apricotknot-gateway/src/operations.rs
@@ -1,7 +1,6 @@
 //! HTTP interface for the balancer and for operators: readiness, duties, usage and metrics.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
@@ -18,9 +17,6 @@
 /// Largest body of a request, in bytes; no request of this interface needs one.
 const MAX_BODY_BYTES: usize = 4 * 1_024;
 
-/// Time without room for a caller after which the node is not ready.
-const MAX_FULL_TIME: Duration = Duration::from_millis(500);
-
 /// Serves one connection of the balancer or of an operator.
 pub(crate) struct OperationsSession<P> {
     context: TrafficContext<P>,
@@ -60,8 +56,7 @@
 
     /// Returns whether the balancer should send new connections to this node.
     fn is_ready(&self) -> bool {
-        self.context.shared.is_ready(self.context.clock.now())
-            && self.callers.full_time() < MAX_FULL_TIME
+        self.context.shared.is_ready(self.context.clock.now()) && !self.callers.is_full()
     }
 
     fn answer(&self, path: &str) -> (StatusCode, Bytes) {
--- a/crates/apricotknot/src/front/context.rs
+++ b/crates/apricotknot/src/front/context.rs
@@ -7,6 +7,7 @@
 use apricotknot_core::outcome::RetryBudget;
 use apricotknot_core::types::ServiceId;
 use apricotknot_gateway::endpoint::AnswerBudget;
+use apricotknot_gateway::intake::IntakeControl;
 use slog::Logger;
 use tokio::sync::watch;
 
@@ -50,12 +51,22 @@
     pub control: ControlHandle,
     /// Memory that the answers which the node holds may occupy.
     pub answer_budget: Arc<AnswerBudget>,
+    /// What the connections of callers occupy.
+    pub callers: Arc<IntakeControl>,
     /// Handle to the ledger of non-repeatable calls.
     pub ledger: LedgerHandle,
     /// Current phase of the node.
     pub phase: watch::Receiver<NodePhase>,
 }
 
+impl SharedContext {
+    /// Returns whether the balancer should send requests to this node.
+    pub fn is_ready(&self) -> bool {
+        let phase = *self.phase.borrow();
+        phase == NodePhase::Ready && self.control.is_ready() && !self.callers.is_full()
+    }
+}
+
 /// Holds the context of one traffic thread.
 #[derive(Debug)]
 pub struct TrafficContext<E> {
@@ -80,6 +91,6 @@
 
     /// Returns whether the balancer should send requests to this node.
     pub fn is_ready(&self) -> bool {
-        self.phase() == NodePhase::Ready && self.shared.control.is_ready()
+        self.shared.is_ready()
     }
 }
--- a/crates/apricotknot/src/front/ops.rs
+++ b/crates/apricotknot/src/front/ops.rs
@@ -10,7 +10,6 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 
-use super::NodePhase;
 use super::ResponseBody;
 use super::SharedContext;
 use super::service::error_response;
@@ -80,9 +79,7 @@
     }
 
     fn readiness(&self) -> Response<ResponseBody> {
-        let is_ready =
-            *self.shared.phase.borrow() == NodePhase::Ready && self.shared.control.is_ready();
-        if is_ready {
+        if self.shared.is_ready() {
             return text_response(StatusCode::OK, "ready\n");
         }
         text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
--- a/crates/apricotknot/src/node/process.rs
+++ b/crates/apricotknot/src/node/process.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use super::NodeError;
+use super::server::caller_intake;
 use super::server::listen;
 use super::server::start_servers;
 use crate::control::ControlContext;
@@ -95,6 +96,7 @@
             metrics: metrics.clone(),
             control: control.handle(),
             answer_budget: Arc::new(AnswerBudget::new(MAX_ANSWER_MEMORY_BYTES)),
+            callers: caller_intake(settings, &metrics, &logger),
             ledger: control.ledger(),
             phase: phase_receiver,
         };
--- a/crates/apricotknot/src/node/server.rs
+++ b/crates/apricotknot/src/node/server.rs
@@ -13,6 +13,7 @@
 use apricotknot_gateway::intake::ConnectionShares;
 use apricotknot_gateway::intake::IntakeControl;
 use apricotknot_gateway::intake::available_descriptors;
+use slog::Logger;
 use socket2::SockRef;
 
 use super::NodeError;
@@ -32,6 +33,7 @@
 use crate::settings::NodeSettings;
 use crate::store::BudgetedStore;
 use crate::store::EtcdStore;
+use crate::telemetry::NodeMetrics;
 
 /// Size of the send buffer of each connection, in bytes.
 const SEND_BUFFER_BYTES: usize = 64 * 1_024;
@@ -64,13 +66,12 @@
     callers: TcpListener,
     operators: TcpListener,
 ) -> io::Result<[Server; 2]> {
-    let shares = ConnectionShares::of(available_descriptors(usize::MAX), usize::MAX);
+    let shares = connection_shares(settings);
     let caller_parts = shared.clone();
-    let max_connections = settings.callers.max_connections.min(shares.callers);
     let front = start_guarded(
-        &server_options("callers", settings, settings.callers.traffic_threads, max_connections),
+        &server_options("callers", settings, settings.callers.traffic_threads, shares.callers),
         callers,
-        &intake("callers", settings.callers.request_memory_bytes, max_connections, shared),
+        &shared.callers,
         move || {
             let context = TrafficContext::new(caller_parts.clone(), HttpEngineClient::new());
             let plain = HttpPlainClient::new(caller_parts.answer_budget.clone());
@@ -82,7 +83,13 @@
     let ops = start_guarded(
         &server_options("operators", settings, OPERATOR_THREADS, shares.operations),
         operators,
-        &intake("operators", OPERATOR_REQUEST_BYTES, shares.operations, shared),
+        &intake(
+            "operators",
+            OPERATOR_REQUEST_BYTES,
+            shares.operations,
+            &shared.metrics,
+            &shared.logger,
+        ),
         move || {
             let api = operators_api(&operator_settings, &operator_parts);
             OpsService::new(operator_parts.clone(), api)
@@ -91,6 +98,23 @@
     Ok([front, ops])
 }
 
+/// Creates the control of what the callers' connections may occupy.
+pub(super) fn caller_intake(
+    settings: &NodeSettings,
+    metrics: &NodeMetrics,
+    logger: &Logger,
+) -> Arc<IntakeControl> {
+    let connections = connection_shares(settings).callers;
+    intake("callers", settings.callers.request_memory_bytes, connections, metrics, logger)
+}
+
+/// Returns the most connections of each interface, by the descriptors of the process and the settings.
+fn connection_shares(settings: &NodeSettings) -> ConnectionShares {
+    let shares = ConnectionShares::of(available_descriptors(usize::MAX), usize::MAX);
+    let callers = settings.callers.max_connections.min(shares.callers);
+    ConnectionShares { callers, ..shares }
+}
+
 fn server_options(
     name: &'static str,
     settings: &NodeSettings,
@@ -106,10 +130,11 @@
     interface: &'static str,
     memory_bytes: usize,
     connections: usize,
-    shared: &SharedContext,
+    metrics: &NodeMetrics,
+    logger: &Logger,
 ) -> Arc<IntakeControl> {
     let limits = IntakeLimits::new(memory_bytes, connections);
-    IntakeControl::new(interface, limits, shared.metrics.intake.clone(), shared.logger.clone())
+    IntakeControl::new(interface, limits, metrics.intake.clone(), logger.clone())
 }
 
 impl RequestService for FrontService<HttpEngineClient, HttpPlainClient> {
--- a/crates/apricotknot/tests/crowds_run.rs
+++ b/crates/apricotknot/tests/crowds_run.rs
@@ -15,6 +15,7 @@
 use apricotknot_standin::fleet::FleetHarness;
 use apricotknot_standin::fleet::FleetSettings;
 use apricotknot_standin::fleet::chat_body;
+use apricotknot_standin::fleet::eventually;
 
 use crowd::ClientScript;
 use crowd::Crowd;
@@ -389,6 +390,24 @@
     assert_eq!(status, Some(200), "{}", fleet.node_log_tail(0));
 }
 
+/// Guards against a node that says it is ready while none of its connections gives way to another one.
+#[actix_rt::test]
+#[expect(clippy::await_holding_lock, reason = "each test has a thread of its own")]
+async fn node_without_room_for_callers_is_not_ready() {
+    let _only = be_only_crowd();
+    let fleet = start_slow_service(HOLDERS as u32, 4_000).await;
+    let (callers, operators) = (fleet.nodes[0].callers, fleet.nodes[0].operators);
+    assert_eq!(status_of(&fleet, operators, "/readyz").await, Some(200));
+    let crowd = start_plain_callers(&fleet, HOLDERS).await;
+    let is_full = async || status_of(&fleet, operators, "/readyz").await == Some(503);
+    assert!(eventually(is_full).await, "all connections run calls");
+    let answers = tokio::task::spawn_blocking(|| crowd.release()).await;
+    drop(answers);
+    let has_room = async || status_of(&fleet, operators, "/readyz").await == Some(200);
+    assert!(eventually(has_room).await, "{}", fleet.node_log_tail(0));
+    assert_eq!(status_of(&fleet, callers, "/readyz").await, Some(200));
+}
+
 /// Guards against a node that says it is ready and takes no client, as prompts that wait for an engine
 /// hold all connections until their deadlines.
 #[actix_rt::test]
