run: the rest of an accepted upload to a plain service is sent after the answer

Change: `RequestRest` sends it, for gateways and `run`; in `run` the body counts against the memory of answers, as the account of the caller's connection ends with the answer, and a stopping node waits for it. Without memory the rest is not sent, and the log says so. Seen to fail before: `plain_answers::accepted_upload_arrives_whole_at_a_service_that_answers_first` (nothing held for the rest); passes now, with `early_answers` and `stale_refusals`.

--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -6,6 +6,7 @@
 mod event_splitter;
 mod exchange;
 mod exchange_error;
+mod request_rest;
 
 pub use answer_budget::AnswerBudget;
 pub use answer_budget::AnswerBudgetError;
@@ -18,6 +19,8 @@
 pub use exchange::EndpointExchange;
 pub use exchange::EndpointRequest;
 pub use exchange_error::ExchangeError;
+pub use request_rest::RequestRest;
+pub use request_rest::RequestRestError;
 
 pub(crate) use connection::set_socket_options;
 pub(crate) use delivery::DELIVERY_CHECK_INTERVAL;
--- a/crates/apricotknot/src/node/server.rs
+++ b/crates/apricotknot/src/node/server.rs
@@ -75,6 +75,7 @@
         move || {
             let context = TrafficContext::new(caller_parts.clone(), HttpEngineClient::new());
             let plain = HttpPlainClient::new(caller_parts.answer_budget.clone());
+            let plain = plain.node(caller_parts.clone());
             FrontService::new(context, plain)
         },
     )?;
--- a/crates/apricotknot/src/plain/adapter.rs
+++ b/crates/apricotknot/src/plain/adapter.rs
@@ -18,14 +18,18 @@
 use apricotknot_gateway::endpoint::EndpointExchange;
 use apricotknot_gateway::endpoint::EndpointRequest;
 use apricotknot_gateway::endpoint::ExchangeError;
+use apricotknot_gateway::endpoint::RequestRest;
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::time::Instant;
 
 use super::PlainAnswer;
 use super::PlainClient;
 use super::PlainError;
 use super::PlainErrorKind;
 use super::PlainRequest;
+use super::upload_rest::UploadRest;
+use crate::front::SharedContext;
 use crate::transport::ATTEMPT_HEADER;
 use crate::transport::CONNECT_TIMEOUT;
 use crate::transport::EXECUTED_HEADER;
@@ -41,23 +45,34 @@
 pub struct HttpPlainClient {
     http: ServiceConfig,
     answer_budget: Arc<AnswerBudget>,
+    /// Node that the client belongs to, if any; it waits for uploads as it stops.
+    node: Option<SharedContext>,
 }
 
 impl HttpPlainClient {
     /// Creates a client whose answers count in `answer_budget`.
     pub fn new(answer_budget: Arc<AnswerBudget>) -> Self {
-        Self { http: ServiceConfig::default(), answer_budget }
+        Self { http: ServiceConfig::default(), answer_budget, node: None }
+    }
+
+    /// Sets the node that the client belongs to.
+    #[must_use]
+    pub fn node(mut self, node: SharedContext) -> Self {
+        self.node = Some(node);
+        self
     }
 
     /// Sends a call and reads the whole answer.
     ///
     /// A status of 412, 429 or 503 counts as a refusal only if the service states that it did no work.
     async fn exchange(&self, request: PlainRequest) -> Result<PlainAnswer, PlainError> {
+        let (end, body_length) = (Instant::now() + request.timeout, request.body.len());
         let request = endpoint_request(request)?;
         let opening = EndpointExchange::open(&self.http, request);
         let mut exchange = opening.await.map_err(|error| exchange_error(&error))?;
         let head = exchange.read_head().await.map_err(|error| exchange_error(&error))?;
         let ResponseHead { status, headers, .. } = head;
+        let is_success = status.is_success();
         let (status, echoed) = (status.as_u16(), echoed_attempt(&headers)?);
         if header_text(&headers, EXECUTED_HEADER) == Some("no") && matches!(status, 412 | 429 | 503)
         {
@@ -67,14 +82,18 @@
                 .retry_after(delay.map(Duration::from_secs)));
         }
         let mut memory = AnswerMemory::new(Arc::clone(&self.answer_budget));
-        let body = read_body(exchange, &mut memory).await?;
+        let body = read_body(&mut exchange, &mut memory).await?;
+        if is_success && let Some(rest) = RequestRest::of(exchange, end - Instant::now()) {
+            let memory = AnswerMemory::new(Arc::clone(&self.answer_budget));
+            UploadRest::new(rest, body_length, memory, self.node.clone()).start();
+        }
         Ok(PlainAnswer { echoed, status, headers, body, memory: Arc::new(memory) })
     }
 }
 
 /// Reads the body of an answer to its end, which its framing states, into `memory`.
 async fn read_body(
-    mut exchange: EndpointExchange,
+    exchange: &mut EndpointExchange,
     memory: &mut AnswerMemory,
 ) -> Result<Bytes, PlainError> {
     let mut body = BytesMut::new();
--- a/crates/apricotknot/src/plain/mod.rs
+++ b/crates/apricotknot/src/plain/mod.rs
@@ -13,6 +13,7 @@
 mod ledger_store;
 mod ledger_task;
 mod protocol;
+mod upload_rest;
 
 pub use adapter::HttpPlainClient;
 pub use call::PlainCall;
