log: an output that nobody reads does not hold up the end of a process

Cause: the last logger that is dropped joins the thread that writes, which waits for the pipe. Seen to fail before: `planned_stop::node_whose_log_nobody_reads_ends_in_time` (not ended after 20 s); passes.

--- a/crates/apricotknot/src/gateway.rs
+++ b/crates/apricotknot/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use apricotknot::settings::GatewayNodeSettings;
-use apricotknot::telemetry::build_logger;
+use apricotknot::telemetry::build_guarded_logger;
 use apricotknot_gateway::GatewayNode;
 use apricotknot_platform::duty_api::PlatformDutyApi;
 use apricotknot_platform::headers::HeaderProtocol;
@@ -37,8 +37,10 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    let logger = build_logger(&settings.log, &settings.identity, stdout());
-    actix_rt::System::new().block_on(serve(settings, file, logger))
+    let (logger, guard) = build_guarded_logger(&settings.log, &settings.identity, stdout());
+    let code = actix_rt::System::new().block_on(serve(settings, file, logger));
+    guard.flush();
+    code
 }
 
 async fn serve(settings: GatewayNodeSettings, file: &Path, logger: Logger) -> ExitCode {
--- a/crates/apricotknot/src/main.rs
+++ b/crates/apricotknot/src/main.rs
@@ -11,7 +11,7 @@
 use apricotknot::NodeSettings;
 use apricotknot::settings::NodeIdentity;
 use apricotknot::settings::SettingsError;
-use apricotknot::telemetry::build_logger;
+use apricotknot::telemetry::build_guarded_logger;
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
@@ -88,7 +88,7 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    let logger = build_logger(&settings.log, &settings.identity, stderr());
+    let (logger, guard) = build_guarded_logger(&settings.log, &settings.identity, stderr());
     let node = match NodeProcess::start(&settings, logger) {
         Ok(node) => node,
         Err(error) => {
@@ -98,7 +98,9 @@
     };
     println!("callers on {}", node.caller_address());
     println!("operators on {}", node.operator_address());
-    actix_rt::System::new().block_on(run_until_stopped(node))
+    let code = actix_rt::System::new().block_on(run_until_stopped(node));
+    guard.flush();
+    code
 }
 
 async fn run_until_stopped(node: NodeProcess) -> ExitCode {
--- a/crates/apricotknot/tests/planned_stop.rs
+++ b/crates/apricotknot/tests/planned_stop.rs
@@ -55,3 +55,22 @@
     assert!(fleet.plain_runs().iter().all(|run| run.request_id != "order"));
     assert_eq!(fleet.nodes[0].wait_for_exit(), Some(0));
 }
+
+/// Requests that are refused, each with a line in the log: together more than a pipe takes.
+const LOGGED_REQUESTS: usize = 2_000;
+
+/// Guards against a process that does not end, as nobody reads its log.
+#[test]
+fn node_whose_log_nobody_reads_ends_in_time() {
+    let mut fleet = Fleet::start("unread-log", 1);
+    fleet.nodes[0].restart_with_unread_log();
+    let request = "GET /nowhere/x HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r\r\n\r\n";
+    let mut stream = connect(&fleet);
+    for _ in 0..LOGGED_REQUESTS {
+        stream.write_all(request.as_bytes()).expect("the request is sent");
+        assert_eq!(read_answer(&mut stream).status, 404);
+    }
+    drop(stream);
+    fleet.nodes[0].signal("-TERM");
+    assert_eq!(fleet.nodes[0].wait_for_exit(), Some(0));
+}
--- a/crates/apricotknot/tests/support/gateway_fleet.rs
+++ b/crates/apricotknot/tests/support/gateway_fleet.rs
@@ -332,6 +332,16 @@
         self.child = start_process(program, &self.settings, &self.log);
     }
 
+    /// Restarts the node with a pipe for its log that nobody reads, and waits until it is ready.
+    pub(crate) fn restart_with_unread_log(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let mut command = Command::new(own_program());
+        command.arg("gateway").arg(&self.settings).stdin(Stdio::null());
+        self.child = command.stdout(Stdio::piped()).spawn().expect("the node starts");
+        wait_until("the node is ready", || self.is_ready());
+    }
+
     /// Restarts the node with at most `descriptors` open at a time, and waits until it is ready.
     pub(crate) fn restart_with_descriptors(&mut self, descriptors: usize) {
         let _ = self.child.kill();
