driver: the ids of a stream's events may rise by more than one

Callers saw (told by the review, no case): a stream with ids such as 0, 10, 20 is cut at its second event. Cause: an event followed only if its id was one more; PROTOCOL says "increasing ids". Change: `EventOrder` decides without a network: any larger id within one attempt; where another attempt continues, no larger gap than the stream has had. Seen to fail before, with the step of one: `stream_events::a_stream_whose_ids_rise_by_ten_is_whole_and_resumes`; passes, with `gateway` (26) and `event_order` (3).

--- a/crates/apricotknot-gateway/src/driver/attempt_opening.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt_opening.rs
@@ -147,7 +147,7 @@
             endpoint: Arc::clone(endpoint),
             account: self.call.account.as_deref().cloned(),
             time_left: self.call.deadline.saturating_sub(self.now()),
-            last_event_id: self.last_event_id,
+            last_event_id: self.event_order.last_id(),
             urgency: urgency_of(self.call.metadata.size.prompt),
             helpers,
         };
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -37,6 +37,7 @@
 use crate::control::EndpointGrant;
 use crate::endpoint::AnswerMemory;
 use crate::endpoint::EndpointExchange;
+use crate::endpoint::EventOrder;
 use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
 use crate::protocol::CallProtocol;
@@ -55,8 +56,8 @@
     pub(super) context: &'a TrafficContext<P>,
     pub(super) connection: &'a mut CallerConnection,
     pub(super) call: AdmittedCall,
-    /// Id of the last event that was forwarded to the caller, if any.
-    pub(super) last_event_id: Option<u64>,
+    /// Order of the events that were forwarded to the caller.
+    pub(super) event_order: EventOrder,
     /// Whether the head of an answer was written to the caller.
     pub(super) has_answer_begun: bool,
     /// Content type of the answer that was begun, if it had one.
@@ -97,12 +98,12 @@
         connection: &'a mut CallerConnection,
         call: AdmittedCall,
     ) -> Self {
-        let last_event_id = call.metadata.last_event_id;
+        let event_order = EventOrder::after(call.metadata.last_event_id);
         Self {
             context,
             connection,
             call,
-            last_event_id,
+            event_order,
             has_answer_begun: false,
             content_type: None,
             ending: context.shared.ending(),
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -15,6 +15,7 @@
 use crate::caller::remove_hop_by_hop_headers;
 use crate::endpoint::AnswerBudgetError;
 use crate::endpoint::EndpointExchange;
+use crate::endpoint::EventPosition;
 use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
 use crate::endpoint::StreamEvent;
@@ -51,11 +52,12 @@
                     self.count_stream(&open);
                     open.silence_limit = open.silence_limit.and(self.stream_silence_limit());
                 }
-                if !self.is_next(&event, is_first) {
+                let position = self.event_position(is_first);
+                if !self.event_order.allows(event.id, position) {
                     return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
                 }
                 self.drop_standby();
-                self.forward(&head, event)?;
+                self.forward(&head, event, position)?;
             }
             if splitter.len() > MAX_EVENT_BYTES {
                 return Err(self.end_broken_attempt(open, &ExchangeError::MalformedBody));
@@ -80,21 +82,22 @@
         self.finish_stream(open, &head)
     }
 
-    /// Returns whether an event follows the last forwarded one.
-    ///
-    /// An event without an id does, unless it is the first one with which another attempt continues
-    /// a stream.
-    fn is_next(&self, event: &StreamEvent, is_first: bool) -> bool {
-        match (self.last_event_id, event.id) {
-            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
-            (Some(_), None) => !(is_first && self.has_answer_begun),
-            (None, _) => true,
+    fn event_position(&self, is_first: bool) -> EventPosition {
+        match (is_first, self.has_answer_begun) {
+            (true, true) => EventPosition::Continues,
+            (true, false) => EventPosition::Begins,
+            (false, _) => EventPosition::Follows,
         }
     }
 
-    fn forward(&mut self, head: &ResponseHead, event: StreamEvent) -> Result<(), CallInterrupt> {
+    fn forward(
+        &mut self,
+        head: &ResponseHead,
+        event: StreamEvent,
+        position: EventPosition,
+    ) -> Result<(), CallInterrupt> {
         self.begin_answer(head)?;
-        self.last_event_id = event.id.or(self.last_event_id);
+        self.event_order.record(event.id, position);
         self.connection.write_part(event.bytes).map_err(|_| CallInterrupt::CallerDisconnected)
     }
 
--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 mod answer_budget;
 mod connection;
 mod delivery;
+mod event_order;
 mod event_splitter;
 mod exchange;
 mod exchange_error;
@@ -14,6 +15,8 @@
 pub use connection::CONNECT_TIMEOUT;
 pub use connection::EndpointConnection;
 pub use connection::connect;
+pub use event_order::EventOrder;
+pub use event_order::EventPosition;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::StreamEvent;
 pub use exchange::EndpointExchange;
