endpoint: events whose lines end with CR LF or CR are found

Cause: the splitter looked for two line feeds. Change: an empty line after any of the three line ends of the format ends an event, in gateways and `run`; bytes are forwarded as they came. Seen to fail before: `exchange::events_are_complete_for_any_chunking_and_line_end` (the former test for any chunking, now with all line ends) and `stream_events::a_stream_whose_lines_end_with_cr_lf_is_whole_and_resumes`; both pass.

--- a/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -3,8 +3,11 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Bytes that end an event: an empty line.
-const EVENT_END: &[u8] = b"\n\n";
+/// Ways in which an event ends: an empty line, after a line that ends with LF, CR LF or CR.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
+/// Length of the longest one, in bytes.
+const MAX_END_BYTES: usize = 3;
 
 /// Holds one complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,7 +36,7 @@
     pub fn next_bytes(&mut self) -> Option<Bytes> {
         let Some(end) = self.find_end() else {
             // The end may begin with the last byte.
-            self.searched = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
+            self.searched = self.buffer.len().saturating_sub(MAX_END_BYTES - 1);
             return None;
         };
         self.searched = 0;
@@ -43,7 +46,7 @@
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let bytes = self.next_bytes()?;
-        let id = bytes.split(|byte| *byte == b'\n').find_map(parse_event_id);
+        let id = lines_of(&bytes).find_map(parse_event_id);
         Some(StreamEvent { bytes, id })
     }
 
@@ -63,12 +66,24 @@
     }
 
     fn find_end(&self) -> Option<usize> {
-        let mut windows = self.buffer[self.searched..].windows(EVENT_END.len());
-        let start = windows.position(|window| window == EVENT_END)?;
-        Some(self.searched + start + EVENT_END.len())
+        let unsearched = &self.buffer[self.searched..];
+        let mut line_ends = (0..unsearched.len()).filter(|index| is_line_end(unsearched[*index]));
+        line_ends.find_map(|index| {
+            let end = EVENT_ENDS.iter().find(|end| unsearched[index..].starts_with(end))?;
+            Some(self.searched + index + end.len())
+        })
     }
 }
 
+/// Returns the lines of an event, and empty ones where a line ends with CR LF.
+pub fn lines_of(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|byte| is_line_end(*byte))
+}
+
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn parse_event_id(line: &[u8]) -> Option<u64> {
     let text = line.strip_prefix(b"id:")?.trim_ascii();
     std::str::from_utf8(text).ok()?.parse().ok()
--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -19,6 +19,7 @@
 pub use event_order::EventPosition;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::StreamEvent;
+pub use event_splitter::lines_of;
 pub use exchange::EndpointExchange;
 pub use exchange::EndpointRequest;
 pub use exchange_error::ExchangeError;
--- a/crates/apricotknot-gateway/tests/exchange.rs
+++ b/crates/apricotknot-gateway/tests/exchange.rs
@@ -243,10 +243,13 @@
     assert!(error.is_unsent(), "{error}");
 }
 
+/// Guards against streams whose lines end with CR LF or CR, of which no event was found.
 #[test]
-fn events_are_complete_for_any_chunking() {
+fn events_are_complete_for_any_chunking_and_line_end() {
     arbtest::arbtest(|source| {
         let text = "id: 4\ndata: a\n\nversion: 2\nid: 5\ndata: b\n\ndata: c\n\nid: 6\ndata: ha";
+        let line_end = *source.choose(&["\n", "\r\n", "\r"])?;
+        let text = text.replace('\n', line_end);
         let mut splitter = EventSplitter::default();
         let mut rest = text.as_bytes();
         let mut ids = Vec::new();
@@ -261,7 +264,7 @@
             }
         }
         assert_eq!(ids, [Some(4), Some(5), None]);
-        assert_eq!(splitter.len(), "id: 6\ndata: ha".len());
+        assert_eq!(splitter.len(), format!("id: 6{line_end}data: ha").len());
         assert!(text.as_bytes().starts_with(&bytes));
         Ok(())
     });
--- a/crates/apricotknot-standin/src/users_platform/endpoint.rs
+++ b/crates/apricotknot-standin/src/users_platform/endpoint.rs
@@ -84,6 +84,8 @@
     interval: Duration,
     /// Difference between the ids of two events.
     id_step: u64,
+    /// Bytes that end a line.
+    line_end: &'static str,
 }
 
 #[derive(Debug)]
@@ -151,7 +153,7 @@
             retry_after: None,
             is_leaving: false,
             arrivals: Vec::new(),
-            events: EventPlan { interval: Duration::from_millis(5), id_step: 1 },
+            events: EventPlan { interval: Duration::from_millis(5), id_step: 1, line_end: "\n" },
             executions: Vec::new(),
             reservations: BTreeMap::new(),
             released_reservations: 0,
@@ -198,6 +200,11 @@
         self.lock().events.id_step = step;
     }
 
+    /// Sets the bytes that end a line of further streams.
+    pub fn set_line_end(&self, line_end: &'static str) {
+        self.lock().events.line_end = line_end;
+    }
+
     /// Closes all connections and refuses new ones.
     pub fn take_down(&self) {
         self.server.take_down();
@@ -430,6 +437,7 @@
         }
         let id = number * plan.id_step;
         let event = format!("id: {id}\ndata: piece {number}\n\n");
+        let event = event.replace('\n', plan.line_end);
         Some((Ok(Bytes::from(event)), (number + 1, guard)))
     })
 }
--- a/crates/apricotknot/src/engine/sse.rs
+++ b/crates/apricotknot/src/engine/sse.rs
@@ -1,6 +1,7 @@
 //! Splits a byte stream into complete server-sent events.
 
 use apricotknot_gateway::endpoint::EventSplitter;
+use apricotknot_gateway::endpoint::lines_of;
 use bytes::Bytes;
 
 use super::EngineError;
@@ -62,9 +63,7 @@
 fn scan_event(bytes: Bytes) -> StreamEvent {
     let mut event =
         StreamEvent { bytes: Bytes::new(), index: None, is_end: false, completion_tokens: None };
-    for line in bytes.split(|byte| *byte == b'\n') {
-        scan_line(line, &mut event);
-    }
+    lines_of(&bytes).for_each(|line| scan_line(line, &mut event));
     event.bytes = bytes;
     event
 }
--- a/crates/apricotknot/tests/stream_events.rs
+++ b/crates/apricotknot/tests/stream_events.rs
@@ -1,4 +1,4 @@
-//! Gateway nodes as processes, in front of endpoints whose events differ in their ids.
+//! Gateway nodes as processes, in front of endpoints whose events differ in their ids and lines.
 
 #![allow(clippy::expect_used, reason = "helpers of tests may panic")]
 
@@ -10,6 +10,7 @@
 use apricotknot_standin::users_platform::EndpointServer;
 
 use gateway_fleet::Fleet;
+use gateway_fleet::expected_stream_body;
 use gateway_fleet::stream_request;
 use gateway_fleet::wait_until;
 
@@ -32,3 +33,21 @@
         fleet.engines[1].executions().iter().any(|run| run.last_event_id == Some(20))
     });
 }
+
+/// Guards against a stream that is lost, as its lines end with CR LF.
+#[test]
+fn a_stream_whose_lines_end_with_cr_lf_is_whole_and_resumes() {
+    let fleet = Fleet::start("lines", 1);
+    for engine in &fleet.engines {
+        engine.set_line_end("\r\n");
+    }
+    let body = expected_stream_body().replace('\n', "\r\n");
+    let whole = fleet.nodes[0].send(&stream_request("whole", 1_000));
+    assert_eq!((whole.status, whole.is_complete, &whole.body), (200, true, &body), "{whole:?}");
+    fleet.engines[0].set_fault(EndpointFault::DisconnectAfter(3));
+    wait_until("a stream is truncated and resumes", || {
+        let resumed = fleet.nodes[0].send(&stream_request("resumed", 1_000));
+        assert_eq!((resumed.is_complete, &resumed.body), (true, &body), "{resumed:?}");
+        fleet.engines[1].executions().iter().any(|run| run.last_event_id == Some(2))
+    });
+}
