fleet, driver: types and constants of placement stand in files of their own; no circles of modules

What earlier work left: ten modules of core `fleet/` and three of gateway `driver/` used one another in circles, as types and constants stood in the files of the decisions that use them. Text is moved, no decision changes. Checked: a script that reads the imports finds no circle in either folder (one in each before); the tests of core pass.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -8,7 +8,7 @@
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
-use super::placement::TIMELY_FRACTION;
+use super::placement_costs::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
 use super::request_value::RequestValues;
 use crate::types::EndpointId;
--- a/crates/apricotknot-core/src/fleet/engine_time_price.rs
+++ b/crates/apricotknot-core/src/fleet/engine_time_price.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::EngineModel;
-use super::prompt_split::PlacementCandidate;
+use super::placement_candidate::PlacementCandidate;
 
 /// Value that other requests gain per second of engine time when all engines are busy.
 const BUSY_PRICE: f64 = 1.5;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -10,32 +10,27 @@
 use super::EngineModel;
 use super::FleetState;
 use super::MAX_DIRECT_NODES;
+use super::PlacementDecision;
+use super::PlacementPlan;
+use super::PlacementQuery;
+use super::QueuePosition;
 use super::RateTurn;
-use super::RequestSize;
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
 use super::endpoint_state::EndpointState;
+use super::placement_candidate::PlacementCandidate;
+use super::placement_costs::FAILURE_COST;
+use super::placement_costs::TIMELY_FRACTION;
 use super::prompt_split::HelperOrder;
 use super::prompt_split::MAX_ENDPOINTS;
-use super::prompt_split::PlacementCandidate;
 use super::prompt_split::PlanRules;
 use super::prompt_split::ScoredPlan;
 use super::prompt_split::best_plan;
 use super::rate_turn::wait_for_rate;
 use super::request_value::RequestValues;
-use crate::types::EndpointId;
 use crate::types::MonotonicTime;
-use crate::types::PriorityRank;
-use crate::types::RegionId;
-use crate::types::ServiceId;
 use crate::types::TokenCount;
 
-/// Fraction of a time limit that an estimate may reach and still count as on time.
-pub(super) const TIMELY_FRACTION: f64 = 0.85;
-
-/// Cost of an endpoint all of whose recent attempts failed, in units of request value.
-pub(super) const FAILURE_COST: f64 = 20.0;
-
 /// Fraction of an engine's memory that requests may occupy.
 const USABLE_MEMORY_FRACTION: f64 = 0.97;
 
@@ -78,78 +73,6 @@
 /// A long prompt may wait until it can be answered on time.
 pub(super) const LONG_PROMPT_TOKENS: TokenCount = 24_000;
 
-/// Describes the request to be placed.
-#[derive(Clone, Debug)]
-pub struct PlacementQuery {
-    /// Service whose endpoints may run it.
-    pub service: ServiceId,
-    /// Size of the request.
-    pub size: RequestSize,
-    /// Regions whose endpoints may run it; all regions if `None`.
-    pub regions: Option<Vec<RegionId>>,
-    /// Endpoints that must not run it, such as those of earlier attempts.
-    pub excluded: Vec<EndpointId>,
-    /// Time at which the request arrived.
-    pub arrived: MonotonicTime,
-    /// Time after its arrival by which the answer must begin to be on time.
-    pub target_latency: Duration,
-    /// Longest pause between two events that counts as on time.
-    pub pause_limit: Duration,
-    /// Time after which an answer is of no use to the caller.
-    pub deadline: MonotonicTime,
-    /// Rank of the request's priority.
-    pub rank: PriorityRank,
-}
-
-/// Describes the work of one helper: an endpoint that prefills a part of the prompt.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct HelperPart {
-    /// Endpoint that is the helper.
-    pub endpoint: EndpointId,
-    /// Memory that it holds for the request, in tokens; zero if it only prefills.
-    pub memory: TokenCount,
-}
-
-/// Describes where a request runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlacementPlan {
-    /// Endpoint that runs the request.
-    pub endpoint: EndpointId,
-    /// Memory that this endpoint holds for the request, in tokens.
-    pub memory: TokenCount,
-    /// Endpoints that prefill the other parts of the prompt.
-    pub helpers: Vec<HelperPart>,
-    /// Time that the runner and each helper prefill; zero for plain services.
-    pub prefill_time: Duration,
-    /// Expected time from the decision until the answer begins; zero for plain services.
-    pub expected_start: Duration,
-}
-
-/// Position of a request among the waiting ones.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct QueuePosition {
-    /// Number of older requests that wait at any node and are no larger.
-    pub rank: usize,
-    /// Number of requests of the same service that wait before it at this node.
-    pub ahead: usize,
-}
-
-/// Decision on a request at one point in time.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PlacementDecision {
-    /// The request is sent according to the plan.
-    Send(PlacementPlan),
-    /// The request waits until endpoints have room for it.
-    Wait,
-    /// The request is refused.
-    Refuse {
-        /// Reason that is reported to the caller.
-        reason: &'static str,
-        /// Time after which the caller may retry.
-        retry_after: Duration,
-    },
-}
-
 /// Decides at `now` whether and where a request runs.
 ///
 /// A long prompt waits while older requests that are no larger wait, until its time to wait ends.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -8,11 +8,11 @@
 use super::PlacementQuery;
 use super::endpoint_load::EndpointLoad;
 use super::engine_time_price::price_per_second;
-use super::placement::FAILURE_COST;
-use super::placement::TIMELY_FRACTION;
+use super::placement_candidate::PlacementCandidate;
+use super::placement_costs::FAILURE_COST;
+use super::placement_costs::TIMELY_FRACTION;
 use super::request_value::LATE_VALUE_FRACTION;
 use super::request_value::RequestValues;
-use crate::types::EndpointId;
 use crate::types::MonotonicTime;
 use crate::types::TokenCount;
 
@@ -67,27 +67,6 @@
     pub(super) values: RequestValues,
 }
 
-/// An endpoint that may run a request or be its helper.
-#[derive(Clone, Debug)]
-pub(super) struct PlacementCandidate {
-    pub(super) endpoint: EndpointId,
-    pub(super) slots: u32,
-    pub(super) free_memory: TokenCount,
-    /// Fraction of recent attempts that failed, from 0 to 1.
-    pub(super) failure_rate: f64,
-    /// How many times longer than expected the endpoint takes to begin an answer.
-    pub(super) slowdown: f64,
-    /// Whether the endpoint may prefill parts of prompts that others run.
-    pub(super) may_help: bool,
-    /// Time until all prefills in progress at the endpoint are done.
-    pub(super) backlog: Duration,
-    /// Time until its prefills as a helper are done.
-    pub(super) helper_backlog: Duration,
-    /// Cost that makes nodes choose differently among nearly equal endpoints.
-    pub(super) choice_cost: f64,
-    pub(super) load: EndpointLoad,
-}
-
 /// A plan with its estimated value.
 #[derive(Clone, Debug)]
 pub(super) struct ScoredPlan {
--- a/crates/apricotknot-core/src/fleet/requested_backoff.rs
+++ b/crates/apricotknot-core/src/fleet/requested_backoff.rs
@@ -3,16 +3,15 @@
 //! The node's own backoff after a failure is part of the endpoint's health; one that the endpoint asks
 //! for is not, and no later success ends it.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use super::BackoffReport;
 use super::FleetState;
 use super::PlacementDecision;
 use super::PlacementQuery;
+use super::backoff_table::BackoffPeriod;
+use super::backoff_table::extend;
 use super::endpoint_state::EndpointState;
 use crate::membership::hash_text;
 use crate::types::EndpointId;
@@ -48,21 +47,6 @@
     Unreadable,
 }
 
-/// Reports to another node that an endpoint wants no requests from it.
-///
-/// The node has relayed the request that the endpoint refused, without reading the answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct BackoffReport {
-    /// Node that the endpoint answered.
-    pub node: NodeId,
-    /// Endpoint that asks for the backoff.
-    pub endpoint: EndpointId,
-    /// Incarnation of the endpoint.
-    pub incarnation: u64,
-    /// Time until the end of the backoff, in milliseconds.
-    pub left_ms: u32,
-}
-
 /// Reports that an endpoint asks for a longer backoff than was known.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BackoffChange {
@@ -76,37 +60,6 @@
     pub relayed_by: Option<NodeId>,
 }
 
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct BackoffPeriod {
-    incarnation: u64,
-    until: MonotonicTime,
-}
-
-/// Holds the backoffs that have not ended; they outlive the registration of an endpoint.
-#[derive(Clone, Debug, Default)]
-pub(super) struct BackoffTable {
-    own: BTreeMap<EndpointId, BackoffPeriod>,
-    /// Backoffs asked of other nodes, which relayed requests of this one.
-    relayed: BTreeMap<(NodeId, EndpointId), BackoffPeriod>,
-}
-
-/// Extends the backoff under `key`; returns whether that makes it longer.
-fn extend<K: Ord>(
-    periods: &mut BTreeMap<K, BackoffPeriod>,
-    key: K,
-    period: BackoffPeriod,
-    now: MonotonicTime,
-) -> bool {
-    periods.retain(|_, known| known.until > now);
-    let is_longer = periods
-        .get(&key)
-        .is_none_or(|known| known.incarnation != period.incarnation || known.until < period.until);
-    if is_longer {
-        periods.insert(key, period);
-    }
-    is_longer
-}
-
 impl FleetState {
     /// Records that an endpoint asks for a backoff; returns the change if it is longer than was known.
     ///
--- a/crates/apricotknot-gateway/src/driver/attempt.rs
+++ b/crates/apricotknot-gateway/src/driver/attempt.rs
@@ -10,12 +10,12 @@
 use apricotknot_core::types::MonotonicTime;
 use bytes::BytesMut;
 
-use super::event_relay::MAX_EVENT_BYTES;
 use super::reservation::ReservationGuard;
 use crate::control::AttemptGuard;
 use crate::control::HelperGrant;
 use crate::endpoint::EndpointExchange;
 use crate::endpoint::EventSplitter;
+use crate::endpoint::MAX_EVENT_BYTES;
 
 /// Holds an attempt whose connection to the endpoint is open.
 pub(super) struct OpenAttempt {
--- a/crates/apricotknot-gateway/src/driver/event_relay.rs
+++ b/crates/apricotknot-gateway/src/driver/event_relay.rs
@@ -18,15 +18,13 @@
 use crate::endpoint::EventPosition;
 use crate::endpoint::EventSplitter;
 use crate::endpoint::ExchangeError;
+use crate::endpoint::MAX_EVENT_BYTES;
 use crate::endpoint::StreamEvent;
 use crate::protocol::CallProtocol;
 
 /// Bytes of an answer that may be buffered for a slow caller.
 const MAX_BUFFERED_BYTES: usize = 256 * 1_024;
 
-/// Largest event, in bytes.
-pub(super) const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
-
 /// Shortest silence between two events after which another endpoint is tried.
 const MIN_STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 
--- a/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
+++ b/crates/apricotknot-gateway/src/endpoint/event_splitter.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Largest event of a stream, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+
 /// Ways in which an event ends: an empty line, after a line that ends with LF, CR LF or CR.
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 
--- a/crates/apricotknot-gateway/src/endpoint/mod.rs
+++ b/crates/apricotknot-gateway/src/endpoint/mod.rs
@@ -18,6 +18,7 @@
 pub use event_order::EventOrder;
 pub use event_order::EventPosition;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::MAX_EVENT_BYTES;
 pub use event_splitter::StreamEvent;
 pub use event_splitter::lines_of;
 pub use exchange::EndpointExchange;
--- a/crates/apricotknot/src/engine/sse.rs
+++ b/crates/apricotknot/src/engine/sse.rs
@@ -1,6 +1,7 @@
 //! Splits a byte stream into complete server-sent events.
 
 use apricotknot_gateway::endpoint::EventSplitter;
+use apricotknot_gateway::endpoint::MAX_EVENT_BYTES;
 use apricotknot_gateway::endpoint::lines_of;
 use bytes::Bytes;
 
@@ -8,9 +9,6 @@
 use super::EngineErrorKind;
 use super::StreamEvent;
 
-/// Most bytes of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Data of the event that marks the end of a stream.
 const END_MARKER: &[u8] = b"[DONE]";
 
