gateway: calls in progress stay within the memory that is counted for them

Cause: beside the counted body a call held its head, a copy of head and body for the endpoint in a buffer that kept its size until the call ended, and an empty buffer for the answer: 142,919 bytes a call with heads of 15.6 KB and bodies of 28 KB, where the account knows 48 KB and the body. Change: head and body are handed to the kernel in one vectored write, the body uncopied, the head freed once sent; an exchange that waits holds no buffer; a head above 8 KB counts in the account of requests. No limit was lowered.

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -57,6 +57,9 @@
 /// A part may be a single byte, and one read of the connection may bring a thousand of them.
 const PARTS_PER_TURN: u64 = 32;
 
+/// Longest head, in bytes, that needs no memory beside the buffers of the connection.
+const BUFFERED_HEAD_BYTES: usize = 8 * 1_024;
+
 /// Memory that is taken first for a body, in bytes, if it is not known to be smaller.
 const FIRST_BODY_BYTES: usize = 16 * 1_024;
 
@@ -122,13 +125,24 @@
             self.has_unread_input = true;
             return Err(ConnectionError::HeadTooLarge);
         }
-        let body = self.read_body(&head, limits).await?;
+        let head_memory = self.take_head_memory(&head)?;
+        let body = self.read_body(&head, head_memory, limits).await?;
         if !self.intake.serve() {
             return Err(ConnectionError::NoMemory);
         }
         Ok(IncomingRequest { head, body })
     }
 
+    /// Takes memory for a long head, which is kept until its request ends; returns how much.
+    fn take_head_memory(&mut self, head: &RequestHead) -> Result<usize, ConnectionError> {
+        let bytes = Some(head_bytes(head)).filter(|bytes| *bytes > BUFFERED_HEAD_BYTES);
+        let Some(bytes) = bytes else {
+            return Ok(0);
+        };
+        self.intake.grow(bytes).map_err(|_| self.refuse_body())?;
+        Ok(bytes)
+    }
+
     /// Records that the request, of the given size, waits for an endpoint; from then on it may have to
     /// give way to other callers.
     pub fn queue(&self, size: u64) {
@@ -320,6 +334,7 @@
     async fn read_body(
         &mut self,
         head: &RequestHead,
+        head_memory: usize,
         limits: &InputLimits,
     ) -> Result<Bytes, ConnectionError> {
         if self.framed.codec_ref().message_type() != MessageType::Payload {
@@ -354,7 +369,7 @@
                         self.has_unread_input = true;
                         return Err(ConnectionError::BodyTooLarge);
                     }
-                    self.make_room(&mut body, part.len(), most)?;
+                    self.make_room(&mut body, part.len(), most, head_memory)?;
                     body.extend_from_slice(&part);
                 },
                 Ok(Ok(Message::Chunk(None))) => return Ok(body.into()),
@@ -381,12 +396,13 @@
         }
     }
 
-    /// Takes memory for `bytes` more bytes of a body that may have `most`.
+    /// Takes memory for `bytes` more bytes of a body that may have `most`, beside that of the head.
     fn make_room(
         &mut self,
         body: &mut Vec<u8>,
         bytes: usize,
         most: usize,
+        head_memory: usize,
     ) -> Result<(), ConnectionError> {
         self.intake.record(bytes);
         let needed = body.len() + bytes;
@@ -395,7 +411,7 @@
         }
         let doubled = (2 * body.capacity()).max(FIRST_BODY_BYTES);
         let capacity = doubled.min(most).max(needed);
-        self.intake.grow(capacity).map_err(|_| self.refuse_body())?;
+        self.intake.grow(head_memory + capacity).map_err(|_| self.refuse_body())?;
         body.reserve_exact(capacity - body.len());
         Ok(())
     }
--- a/crates/apricotknot-gateway/src/endpoint/connection.rs
+++ b/crates/apricotknot-gateway/src/endpoint/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints, a node's own and those that a peer relays.
 
 use std::io;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -110,6 +111,21 @@
         }
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        match &mut *self {
+            Self::Direct(stream) => Pin::new(stream).poll_write_vectored(context, parts),
+            Self::Relayed { stream, .. } => Pin::new(stream).poll_write_vectored(context, parts),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut *self {
             Self::Direct(stream) => Pin::new(stream).poll_flush(context),
--- a/crates/apricotknot-gateway/src/endpoint/exchange.rs
+++ b/crates/apricotknot-gateway/src/endpoint/exchange.rs
@@ -5,6 +5,8 @@
 
 use std::future::poll_fn;
 use std::io;
+use std::io::IoSlice;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -28,11 +30,12 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::time::Sleep;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
-use tokio_util::io::poll_read_buf;
 
 use super::DELIVERY_CHECK_INTERVAL;
 use super::Delivery;
@@ -43,9 +46,6 @@
 /// Bytes that are read from the connection at a time.
 const READ_CHUNK_BYTES: usize = 8 * 1_024;
 
-/// Longest body that is copied behind the head, to send both at once.
-const MAX_COPIED_BYTES: usize = 64 * 1_024;
-
 /// Largest heads of one answer together, informational ones included, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
 
@@ -78,8 +78,9 @@
 pub struct EndpointExchange {
     connection: EndpointConnection,
     input: BytesMut,
-    output: BytesMut,
-    /// Body that follows the output; it is not copied.
+    /// Rest of the request's head; its memory is given back once it is sent.
+    head_left: Bytes,
+    /// Rest of the request's body, which is shared with the call and not copied.
     body_left: Bytes,
     has_body: bool,
     framing: BodyFraming,
@@ -128,16 +129,16 @@
         body: &Bytes,
     ) -> Result<Self, ExchangeError> {
         let mut codec = ClientCodec::new(config.clone());
-        let (output, body_left) = encode(&mut codec, head, body)?;
-        let length = u64::try_from(output.len() + body_left.len()).unwrap_or(u64::MAX);
+        let head_left = encode_head(&mut codec, head, body.len())?;
+        let length = u64::try_from(head_left.len() + body.len()).unwrap_or(u64::MAX);
         connection.state_request_length(length);
-        let input = BytesMut::with_capacity(READ_CHUNK_BYTES);
+        let input = BytesMut::new();
         let framing = BodyFraming::AwaitingHead(codec);
         Ok(Self {
             connection,
             input,
-            output,
-            body_left,
+            head_left,
+            body_left: body.clone(),
             has_body: !body.is_empty(),
             framing,
             head_bytes: 0,
@@ -173,7 +174,7 @@
 
     /// Returns the bytes of the request that this node's kernel has not taken.
     pub fn unsent_bytes(&self) -> usize {
-        self.output.len() + self.body_left.len()
+        self.head_left.len() + self.body_left.len()
     }
 
     /// Sends the rest of the request after a complete answer, and waits until the other side of the
@@ -291,15 +292,11 @@
 
     /// Sends more of the request; ready once all of it is sent, or [`Self::send_error`] is set.
     fn poll_send(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.send_error.is_none() {
-            let is_body = self.output.is_empty();
-            let bytes: &[u8] = if is_body { &self.body_left } else { &self.output };
-            if bytes.is_empty() {
-                break;
-            }
-            match ready!(Pin::new(&mut self.connection).poll_write(context, bytes)) {
-                Ok(count) if is_body => self.body_left.advance(count),
-                Ok(count) => self.output.advance(count),
+        while self.send_error.is_none() && self.unsent_bytes() > 0 {
+            let parts = [IoSlice::new(&self.head_left), IoSlice::new(&self.body_left)];
+            let connection = Pin::new(&mut self.connection);
+            match ready!(connection.poll_write_vectored(context, &parts)) {
+                Ok(count) => self.count_sent(count),
                 Err(error) => self.send_error = Some(error),
             }
         }
@@ -368,33 +365,41 @@
         }
     }
 
+    fn count_sent(&mut self, bytes: usize) {
+        let of_head = bytes.min(self.head_left.len());
+        self.head_left.advance(of_head);
+        self.body_left.advance(bytes - of_head);
+        if self.head_left.is_empty() {
+            self.head_left = Bytes::new();
+        }
+    }
+
     /// Reads more input; returns `false` if the connection has ended.
     fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<Result<bool, ExchangeError>> {
-        self.input.reserve(READ_CHUNK_BYTES);
-        let read = poll_read_buf(Pin::new(&mut self.connection), context, &mut self.input);
-        read.map(|result| result.map(|count| count > 0).map_err(ExchangeError::Broken))
+        // An exchange that waits holds no buffer.
+        let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
+        let mut chunk = ReadBuf::uninit(&mut chunk);
+        let read = Pin::new(&mut self.connection).poll_read(context, &mut chunk);
+        ready!(read).map_err(ExchangeError::Broken)?;
+        self.input.extend_from_slice(chunk.filled());
+        Poll::Ready(Ok(!chunk.filled().is_empty()))
     }
 }
 
-/// Encodes a request; returns its head, with the body if that is short, and the rest.
-fn encode(
+/// Encodes the head of a request whose body has `body_length` bytes.
+fn encode_head(
     codec: &mut ClientCodec,
     head: RequestHead,
-    body: &Bytes,
-) -> Result<(BytesMut, Bytes), ExchangeError> {
-    let size = if body.is_empty() {
-        BodySize::None
-    } else {
-        BodySize::Sized(u64::try_from(body.len()).unwrap_or(u64::MAX))
+    body_length: usize,
+) -> Result<Bytes, ExchangeError> {
+    let size = match body_length {
+        0 => BodySize::None,
+        length => BodySize::Sized(u64::try_from(length).unwrap_or(u64::MAX)),
     };
     let mut output = BytesMut::new();
     let head = RequestHeadType::Owned(head);
     codec.encode(Message::Item((head, size)), &mut output).map_err(ExchangeError::Encoding)?;
-    if body.len() > MAX_COPIED_BYTES {
-        return Ok((output, body.clone()));
-    }
-    output.extend_from_slice(body);
-    Ok((output, Bytes::new()))
+    Ok(output.freeze())
 }
 
 fn framing_of(codec: ClientCodec, head: &ResponseHead) -> BodyFraming {
--- a/crates/apricotknot-gateway/src/relay/relayed_stream.rs
+++ b/crates/apricotknot-gateway/src/relay/relayed_stream.rs
@@ -5,6 +5,7 @@
 //! endpoint has closed its connection, and in [`EndMode::Confirmed`] that it took the whole request.
 
 use std::io;
+use std::io::IoSlice;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -171,6 +172,19 @@
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_send_length(context))?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_send_length(context))?;
         Pin::new(&mut self.stream).poll_flush(context)
