gateway: an end that nobody confirms is no fault of the endpoint; writing of answers in a file of its own

An answer that ends at a peer of an earlier build, which cannot tell whether its endpoint took the request, counted as a broken connection, against the endpoint and the request.

--- a/crates/apricotknot-gateway/src/caller/connection.rs
+++ b/crates/apricotknot-gateway/src/caller/connection.rs
@@ -8,11 +8,9 @@
 use std::time::Duration;
 
 use actix_codec::Framed;
-use actix_http::ConnectionType;
 use actix_http::Request;
 use actix_http::RequestHead;
 use actix_http::Response;
-use actix_http::ResponseHead;
 use actix_http::ServiceConfig;
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
@@ -63,27 +61,24 @@
 /// Memory that is taken first for a body, in bytes, if it is not known to be smaller.
 const FIRST_BODY_BYTES: usize = 16 * 1_024;
 
-/// Bytes of a long part of an answer's body that are encoded at a time.
-const ENCODED_BYTES: usize = 64 * 1_024;
-
 /// Bytes of input that are discarded at a time.
 const DISCARD_CHUNK_BYTES: usize = 16 * 1_024;
 
 /// Reads the requests of one connection and writes their answers, one after the other.
 pub struct CallerConnection {
-    framed: Framed<TcpStream, CallerCodec>,
+    pub(super) framed: Framed<TcpStream, CallerCodec>,
     intake: IntakeConnection,
     /// Request that arrived before the answer to the previous one was complete.
     pipelined: Option<Request>,
-    buffered_bytes: usize,
+    pub(super) buffered_bytes: usize,
     /// Rest of a long part of the answer's body, which is encoded as the caller reads.
-    unencoded: Bytes,
+    pub(super) unencoded: Bytes,
     /// Memory of the answer that is being written.
-    answer_memory: Option<AnswerMemory>,
+    pub(super) answer_memory: Option<AnswerMemory>,
     has_unread_input: bool,
     /// Whether a later request has a head that is too large; nothing more is read then.
     is_input_refused: bool,
-    is_closing: bool,
+    pub(super) is_closing: bool,
     /// Longest time for which input is discarded at the end.
     linger_time: Duration,
 }
@@ -164,76 +159,6 @@
         self.intake.finish();
     }
 
-    /// Writes the head of an answer whose body has `size`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the head cannot be encoded.
-    pub fn begin_answer(
-        &mut self,
-        head: &ResponseHead,
-        size: BodySize,
-    ) -> Result<(), ConnectionError> {
-        let mut response = Response::new(head.status).drop_body();
-        *response.headers_mut() = head.headers.clone();
-        if self.is_closing {
-            response.head_mut().set_connection_type(ConnectionType::Close);
-        }
-        self.encode(Message::Item((response, size)))
-    }
-
-    /// Adds a part of the answer's body to the output buffer.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the part cannot be encoded.
-    pub fn write_part(&mut self, part: Bytes) -> Result<(), ConnectionError> {
-        self.buffered_bytes += part.len();
-        self.encode(Message::Chunk(Some(part)))
-    }
-
-    /// Marks the answer's body as complete.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the end of the body cannot be encoded.
-    pub fn finish_answer(&mut self) -> Result<(), ConnectionError> {
-        self.encode(Message::Chunk(None))
-    }
-
-    /// Writes a complete answer to the output buffer.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the answer cannot be encoded.
-    pub fn write_answer(
-        &mut self,
-        head: &ResponseHead,
-        body: Bytes,
-    ) -> Result<(), ConnectionError> {
-        let size = BodySize::Sized(u64::try_from(body.len()).unwrap_or(u64::MAX));
-        self.begin_answer(head, size)?;
-        self.write_long_part(body)
-    }
-
-    /// Adds a long part of the answer's body, of which the output buffer takes a little at a time.
-    ///
-    /// Nothing may be written after it until it is flushed.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the part cannot be encoded.
-    pub fn write_long_part(&mut self, part: Bytes) -> Result<(), ConnectionError> {
-        self.buffered_bytes += part.len();
-        self.unencoded = part;
-        self.encode_next()
-    }
-
-    /// Keeps the memory of an answer until the caller has read what is buffered of it.
-    pub fn hold_memory(&mut self, memory: AnswerMemory) {
-        self.answer_memory = Some(memory).filter(|_| self.buffered_bytes > 0);
-    }
-
     /// Aborts an incomplete answer: the connection is closed without the end of the body, so that
     /// the caller cannot mistake the answer for a complete one.
     pub fn abort(&mut self) {
@@ -443,24 +368,6 @@
         }
     }
 
-    fn encode(
-        &mut self,
-        message: Message<(Response<()>, BodySize)>,
-    ) -> Result<(), ConnectionError> {
-        Pin::new(&mut self.framed).write(message).map_err(|_| ConnectionError::Closed)
-    }
-
-    /// Encodes the next bytes of a long part, if there is one.
-    ///
-    /// The output buffer copies what is encoded, and keeps its size.
-    fn encode_next(&mut self) -> Result<(), ConnectionError> {
-        let length = self.unencoded.len().min(ENCODED_BYTES);
-        match self.unencoded.split_to(length) {
-            part if part.is_empty() => Ok(()),
-            part => self.encode(Message::Chunk(Some(part))),
-        }
-    }
-
     fn poll_flush(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ConnectionError>> {
         loop {
             let flushed =
--- a/crates/apricotknot-gateway/src/caller/mod.rs
+++ b/crates/apricotknot-gateway/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP connections of callers.
 
+mod answer_writing;
 mod body_progress;
 mod caller_codec;
 mod connection;
--- a/crates/apricotknot-gateway/src/driver/call_driver.rs
+++ b/crates/apricotknot-gateway/src/driver/call_driver.rs
@@ -321,7 +321,14 @@
         error: &ExchangeError,
     ) -> CallInterrupt {
         self.runs += 1;
-        self.record_broken(&mut open, &error.to_string());
+        if matches!(error, ExchangeError::UnconfirmedEnd) {
+            // It says nothing about the endpoint or the request.
+            open.guard.set_end(AttemptEnd::Abandoned);
+            let cause = error.to_string();
+            self.record_failed_attempt(&open.endpoint, AttemptEnd::Abandoned, &cause);
+        } else {
+            self.record_broken(&mut open, &error.to_string());
+        }
         self.excluded.push(open.endpoint);
         CallInterrupt::Attempt(AttemptFault::MayHaveRun)
     }
--- a/crates/apricotknot-gateway/src/relay/relay_session.rs
+++ b/crates/apricotknot-gateway/src/relay/relay_session.rs
@@ -158,7 +158,7 @@
     }
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(count @ 1..) = from_node.read(&mut buffer).await {
-        let count = request.bytes_left(count);
+        let count = request.bytes_within(count);
         if to_target.write_all(&buffer[..count]).await.is_err() {
             request.mark_broken();
             return discard(from_node).await;
--- a/crates/apricotknot-gateway/src/relay/relayed_request.rs
+++ b/crates/apricotknot-gateway/src/relay/relayed_request.rs
@@ -46,7 +46,7 @@
     }
 
     /// Returns how many of `available` bytes belong to the request.
-    pub(super) fn bytes_left(&self, available: usize) -> usize {
+    pub(super) fn bytes_within(&self, available: usize) -> usize {
         let left = self.bytes_left.get().and_then(|left| usize::try_from(left).ok());
         left.map_or(available, |left| left.min(available))
     }
