fleet, gateway: decisions on placement say what was weighed and what a request waits for

Change: place returns a verdict, the decision with its evidence (net value, price, utilization, requests ahead, cause of a wait). call: placed says them, call: not placed is new, and the metric placements counts both by kind, outcome and what they waited for. No decision changes.

Tests: those of core fleet compare the decision of the verdict as before.

--- a/crates/apricotknot-core/src/fleet/engine_time_price.rs
+++ b/crates/apricotknot-core/src/fleet/engine_time_price.rs
@@ -11,16 +11,35 @@
 /// Prefill backlog at which an engine counts as busy.
 const BUSY_BACKLOG: Duration = Duration::from_millis(300);
 
-/// Returns the price of a second of engine time, in units of request value.
+/// Price of engine time, as one node knows the work of all nodes.
 ///
 /// While engines are idle, nobody misses the time. The busier they are, the more likely a request
-/// that arrives finds none. Each node derives the price from the work of all nodes, so for the same
-/// candidates all arrive at nearly the same one without agreeing on it.
-pub(super) fn price_per_second(engine: &EngineModel, candidates: &[PlacementCandidate]) -> f64 {
-    let utilizations = candidates.iter().map(|candidate| {
-        let running = f64::from(candidate.load.running) / f64::from(engine.slots.max(1));
-        let prefill = candidate.backlog.as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
-        running.max(prefill).min(1.0)
-    });
-    BUSY_PRICE * utilizations.sum::<f64>() / (candidates.len().max(1) as f64)
+/// that arrives finds none. For the same candidates all nodes arrive at nearly the same price without
+/// agreeing on it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EngineTimePrice {
+    utilization: f64,
+}
+
+impl EngineTimePrice {
+    /// Derives the price from the load of the endpoints that may run the request.
+    pub(super) fn of(engine: &EngineModel, candidates: &[PlacementCandidate]) -> Self {
+        let utilizations = candidates.iter().map(|candidate| {
+            let running = f64::from(candidate.load.running) / f64::from(engine.slots.max(1));
+            let prefill = candidate.backlog.as_secs_f64() / BUSY_BACKLOG.as_secs_f64();
+            running.max(prefill).min(1.0)
+        });
+        let utilization = utilizations.sum::<f64>() / (candidates.len().max(1) as f64);
+        Self { utilization }
+    }
+
+    /// Returns the mean utilization of the endpoints, from 0 to 1.
+    pub(super) fn utilization(self) -> f64 {
+        self.utilization
+    }
+
+    /// Returns the price of `time` at one engine, in units of request value.
+    pub(super) fn of_time(self, time: Duration) -> f64 {
+        BUSY_PRICE * self.utilization * time.as_secs_f64()
+    }
 }
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -11,10 +11,13 @@
 use super::FleetState;
 use super::MAX_DIRECT_NODES;
 use super::PlacementDecision;
+use super::PlacementEvidence;
 use super::PlacementPlan;
 use super::PlacementQuery;
+use super::PlacementVerdict;
 use super::QueuePosition;
 use super::RateTurn;
+use super::WaitCause;
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
 use super::endpoint_state::EndpointState;
@@ -81,25 +84,25 @@
     query: &PlacementQuery,
     position: QueuePosition,
     now: MonotonicTime,
-) -> PlacementDecision {
+) -> PlacementVerdict {
     let engine = fleet.service(&query.service).and_then(|profile| profile.engine.as_ref());
     let eligible: Vec<&EndpointState> =
         fleet.endpoints().filter(|state| is_eligible(fleet, state, query)).collect();
     if eligible.is_empty() {
-        return PlacementDecision::Refuse { reason: "no endpoint", retry_after: NO_ROOM_RETRY };
+        return PlacementVerdict::refusal("no endpoint", NO_ROOM_RETRY);
     }
     if let Some(engine) = engine {
         let count = u64::try_from(eligible.len()).unwrap_or(u64::MAX);
         let total_memory = engine.memory.saturating_mul(count);
         if query.size.memory() > total_memory {
-            return PlacementDecision::Refuse { reason: "too large", retry_after: TOO_LARGE_RETRY };
+            return PlacementVerdict::refusal("too large", TOO_LARGE_RETRY);
         }
     }
     if let Some(decision) = fleet.decide_by_backoff(&eligible, query, now) {
-        return decision;
+        return PlacementVerdict::held(decision, WaitCause::Backoff);
     }
     if let Some(decision) = decide_by_rates(fleet, &eligible, query, position.ahead, now) {
-        return decision;
+        return PlacementVerdict::held(decision, WaitCause::Rate);
     }
     let endpoint_count = eligible.len();
     let mut loads = sum_loads(fleet, now);
@@ -222,6 +225,7 @@
     Some(ScoredPlan {
         net_value: 1.0,
         time_price: 0.0,
+        utilization: 0.0,
         is_timely: true,
         has_no_prefill: true,
         plan: PlacementPlan {
@@ -242,14 +246,21 @@
     endpoint_count: usize,
     rank: usize,
     now: MonotonicTime,
-) -> PlacementDecision {
+) -> PlacementVerdict {
     let has_wait_expired = now >= wait_deadline(query, engine);
     let Some(scored) = plan else {
-        return wait_or_refuse(has_wait_expired);
+        return PlacementVerdict::held(wait_or_refuse(has_wait_expired), WaitCause::Room);
+    };
+    let evidence = PlacementEvidence {
+        cause: None,
+        net_value: scored.net_value,
+        price: scored.time_price,
+        utilization: scored.utilization,
+        rank,
     };
     let is_long = query.size.prompt >= LONG_PROMPT_TOKENS;
     if is_long && scored.net_value <= scored.time_price {
-        return wait_or_refuse(has_wait_expired);
+        return evidence.verdict(wait_or_refuse(has_wait_expired), Some(WaitCause::Price));
     }
     let may_wait = is_long && !has_wait_expired;
     let can_be_timely = now + fastest_start(engine, query, endpoint_count)
@@ -258,9 +269,10 @@
     // as other requests can still be answered on time.
     let is_held_back = !scored.is_timely && (can_be_timely || !scored.has_no_prefill);
     if may_wait && (rank > 0 || is_held_back) {
-        return PlacementDecision::Wait;
+        let cause = if is_held_back { WaitCause::Timeliness } else { WaitCause::Turn };
+        return evidence.verdict(PlacementDecision::Wait, Some(cause));
     }
-    PlacementDecision::Send(scored.plan)
+    evidence.verdict(PlacementDecision::Send(scored.plan), None)
 }
 
 /// Returns the time until the answer begins if all endpoints were idle and shared the prefill.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -7,7 +7,7 @@
 use super::PlacementPlan;
 use super::PlacementQuery;
 use super::endpoint_load::EndpointLoad;
-use super::engine_time_price::price_per_second;
+use super::engine_time_price::EngineTimePrice;
 use super::placement_candidate::PlacementCandidate;
 use super::placement_costs::FAILURE_COST;
 use super::placement_costs::TIMELY_FRACTION;
@@ -74,6 +74,8 @@
     pub(super) net_value: f64,
     /// Price of the time of its endpoints: the value that requests which arrive meanwhile lose.
     pub(super) time_price: f64,
+    /// Mean utilization of the engines, from which the price follows.
+    pub(super) utilization: f64,
     /// Whether the answer is expected to begin within the target latency.
     pub(super) is_timely: bool,
     /// Whether none of the endpoints has a prefill in progress.
@@ -101,7 +103,7 @@
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let prefill = engine.prefill_time(query.size.prompt);
-    let time_price = price_per_second(engine, &candidates) * prefill.as_secs_f64();
+    let price = EngineTimePrice::of(engine, &candidates);
     if candidates.is_empty() {
         return None;
     }
@@ -120,7 +122,8 @@
         // A late prompt takes only engines without a prefill, which others miss less.
         let is_full_price = plan.is_timely || rules.order == HelperOrder::CostFirst;
         let share = if is_full_price { 1.0 } else { LATE_VALUE_FRACTION };
-        Some(ScoredPlan { time_price: time_price * share, ..plan })
+        let time_price = price.of_time(prefill) * share;
+        Some(ScoredPlan { time_price, utilization: price.utilization(), ..plan })
     });
     let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
     plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
@@ -177,6 +180,7 @@
     Some(ScoredPlan {
         net_value,
         time_price: 0.0,
+        utilization: 0.0,
         is_timely,
         has_no_prefill: helpers
             .iter()
--- a/crates/apricotknot-core/tests/competing_callers.rs
+++ b/crates/apricotknot-core/tests/competing_callers.rs
@@ -89,7 +89,7 @@
     let decide = |rank| {
         let mut request = query(&ARCHIVE, now);
         request.rank = rank;
-        place(&fleet_state, &request, QueuePosition::default(), now)
+        place(&fleet_state, &request, QueuePosition::default(), now).decision
     };
     assert_eq!(decide(0), PlacementDecision::Wait);
     assert_eq!(decide(2), PlacementDecision::Wait);
--- a/crates/apricotknot-core/tests/fleet_locality.rs
+++ b/crates/apricotknot-core/tests/fleet_locality.rs
@@ -69,7 +69,7 @@
     let (mut local, mut remote) = (0, 0);
     for attempt in 0..count {
         let query = short_query();
-        let decision = place(fleet, &query, QueuePosition::default(), NOW);
+        let decision = place(fleet, &query, QueuePosition::default(), NOW).decision;
         let PlacementDecision::Send(plan) = decision else {
             continue;
         };
--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -35,6 +35,15 @@
 /// Delay of a load snapshot between nodes.
 const SNAPSHOT_DELAY: Duration = Duration::from_millis(2);
 
+fn decide(
+    fleet_state: &FleetState,
+    request: &PlacementQuery,
+    position: QueuePosition,
+    now: Duration,
+) -> PlacementDecision {
+    place(fleet_state, request, position, now).decision
+}
+
 fn expect_sent(decision: PlacementDecision) -> PlacementPlan {
     match decision {
         PlacementDecision::Send(plan) => plan,
@@ -60,7 +69,7 @@
 #[test]
 fn short_prompt_is_prefilled_by_one_engine() {
     let fleet_state = fleet_state(4);
-    let plan = expect_sent(place(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
     assert!(plan.helpers.is_empty());
     assert_eq!(plan.memory, query(&TICKET, NOW).size.memory());
     assert!(plan.expected_start < Duration::from_millis(200));
@@ -70,7 +79,7 @@
 fn archive_is_prefilled_by_many_engines() {
     let fleet_state = fleet_state(14);
     let request = query(&ARCHIVE, NOW);
-    let plan = expect_sent(place(&fleet_state, &request, FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &request, FIRST, NOW));
     assert!(plan.helpers.len() >= 3, "{plan:?}");
     assert!(plan.helpers.iter().all(|part| part.memory == 0), "one engine holds the whole prompt");
     assert!(plan.expected_start < request.target_latency / 2);
@@ -84,7 +93,7 @@
         fleet_state.record_rate_statement(limited, statement, NOW, NOW);
     }
     let later = NOW + Duration::from_secs(1);
-    let plan = expect_sent(place(&fleet_state, &query(&ARCHIVE, later), FIRST, later));
+    let plan = expect_sent(decide(&fleet_state, &query(&ARCHIVE, later), FIRST, later));
     assert!(plan.helpers.len() >= 2, "{plan:?}");
     for helper in &plan.helpers {
         assert!(!["engine-1", "engine-4"].contains(&&*helper.endpoint), "{plan:?}");
@@ -96,7 +105,7 @@
     let fleet_state = fleet_state(6);
     let mut request = query(&ARCHIVE, NOW);
     request.size.prompt = 500_000;
-    let plan = expect_sent(place(&fleet_state, &request, FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &request, FIRST, NOW));
     let held: u64 = plan.helpers.iter().map(|part| part.memory).sum();
     assert_eq!(held + plan.memory, request.size.memory());
     assert!(plan.memory <= model().memory);
@@ -108,7 +117,7 @@
     let fleet_state = fleet_state(2);
     let mut request = query(&ARCHIVE, NOW);
     request.size.prompt = 600_000;
-    let decision = place(&fleet_state, &request, FIRST, NOW);
+    let decision = decide(&fleet_state, &request, FIRST, NOW);
     assert!(
         matches!(decision, PlacementDecision::Refuse { reason: "too large", .. }),
         "{decision:?}"
@@ -119,7 +128,7 @@
 fn long_prefill_avoids_engines_with_short_streams() {
     let mut fleet_state = fleet_state(4);
     start_short_streams(&mut fleet_state, 6);
-    let plan = expect_sent(place(&fleet_state, &query(&ARCHIVE, NOW), FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &query(&ARCHIVE, NOW), FIRST, NOW));
     assert_ne!(&*plan.endpoint, "engine-0", "{plan:?}");
     assert!(plan.helpers.iter().all(|part| &*part.endpoint != "engine-0"), "{plan:?}");
 }
@@ -131,7 +140,7 @@
     let mut request = query(&ARCHIVE, NOW);
     request.arrived = NOW - Duration::from_secs(5);
     request.size.prompt = 200_000;
-    let plan = expect_sent(place(&fleet_state, &request, FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &request, FIRST, NOW));
     assert_eq!(&*plan.endpoint, "engine-0");
 }
 
@@ -141,24 +150,24 @@
     start_short_streams(&mut fleet_state, 14);
     let mut request = query(&ARCHIVE, NOW);
     request.size.prompt = 100_000;
-    assert_eq!(place(&fleet_state, &request, FIRST, NOW), PlacementDecision::Wait);
+    assert_eq!(decide(&fleet_state, &request, FIRST, NOW), PlacementDecision::Wait);
     let late = request.deadline - Duration::from_secs(1);
-    let decision = place(&fleet_state, &request, FIRST, late);
+    let decision = decide(&fleet_state, &request, FIRST, late);
     assert!(matches!(decision, PlacementDecision::Refuse { .. }), "{decision:?}");
 }
 
 #[test]
 fn long_prompt_waits_behind_an_older_one_and_short_prompt_does_not() {
     let fleet_state = fleet_state(4);
-    assert_eq!(place(&fleet_state, &query(&ARCHIVE, NOW), SECOND, NOW), PlacementDecision::Wait);
-    expect_sent(place(&fleet_state, &query(&TICKET, NOW), SECOND, NOW));
+    assert_eq!(decide(&fleet_state, &query(&ARCHIVE, NOW), SECOND, NOW), PlacementDecision::Wait);
+    expect_sent(decide(&fleet_state, &query(&TICKET, NOW), SECOND, NOW));
 }
 
 #[test]
 fn ineligible_endpoints_get_no_requests() {
     let refused = |fleet_state: &FleetState| {
         matches!(
-            place(fleet_state, &query(&TICKET, NOW), FIRST, NOW),
+            decide(fleet_state, &query(&TICKET, NOW), FIRST, NOW),
             PlacementDecision::Refuse { .. }
         )
     };
@@ -171,31 +180,31 @@
     evacuated.set_evacuated("centre-0".into(), true, NOW);
     assert!(refused(&evacuated));
     evacuated.set_evacuated("centre-0".into(), false, NOW);
-    expect_sent(place(&evacuated, &query(&TICKET, NOW), FIRST, NOW));
+    expect_sent(decide(&evacuated, &query(&TICKET, NOW), FIRST, NOW));
     let mut removed = fleet_state(1);
     removed.remove_endpoint("engine-0");
     assert!(refused(&removed));
     let mut other_region = query(&TICKET, NOW);
     other_region.regions = Some(vec!["another".into()]);
-    let decision = place(&fleet_state(1), &other_region, FIRST, NOW);
+    let decision = decide(&fleet_state(1), &other_region, FIRST, NOW);
     assert!(matches!(decision, PlacementDecision::Refuse { .. }));
     let mut excluded = query(&TICKET, NOW);
     excluded.excluded = vec!["engine-0".into()];
-    let decision = place(&fleet_state(1), &excluded, FIRST, NOW);
+    let decision = decide(&fleet_state(1), &excluded, FIRST, NOW);
     assert!(matches!(decision, PlacementDecision::Refuse { .. }));
 }
 
 #[test]
 fn restarted_endpoint_gets_a_new_health_record() {
     let mut fleet_state = fleet_state(1);
-    let plan = expect_sent(place(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
+    let plan = expect_sent(decide(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
     fleet_state.record_start(1, &query(&TICKET, NOW), &plan, NOW);
     fleet_state.record_end(1, apricotknot_core::fleet::AttemptEnd::Unreachable, NOW);
-    assert_eq!(place(&fleet_state, &query(&TICKET, NOW), FIRST, NOW), PlacementDecision::Wait);
+    assert_eq!(decide(&fleet_state, &query(&TICKET, NOW), FIRST, NOW), PlacementDecision::Wait);
     let mut restarted = endpoint_entry(0);
     restarted.incarnation = 2;
     fleet_state.set_endpoint(restarted);
-    expect_sent(place(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
+    expect_sent(decide(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
 }
 
 /// The load is a burst of archives at 2.7 times the usual rate, then a burst of tickets at 2.5
--- a/crates/apricotknot-core/tests/requested_backoff.rs
+++ b/crates/apricotknot-core/tests/requested_backoff.rs
@@ -62,7 +62,7 @@
 }
 
 fn chosen(fleet: &FleetState, now: MonotonicTime) -> Option<EndpointId> {
-    match place(fleet, &query(now), QueuePosition::default(), now) {
+    match place(fleet, &query(now), QueuePosition::default(), now).decision {
         PlacementDecision::Send(plan) => Some(plan.endpoint),
         _ => None,
     }
@@ -126,7 +126,7 @@
     let mut delays = Vec::new();
     for step in 0..20 {
         let now = NOW + Duration::from_millis(step);
-        match place(&fleet, &query(now), QueuePosition::default(), now) {
+        match place(&fleet, &query(now), QueuePosition::default(), now).decision {
             PlacementDecision::Refuse { retry_after, .. } => delays.push(now + retry_after),
             decision => panic!("{decision:?}"),
         }
@@ -137,7 +137,7 @@
         first.zip(last).is_some_and(|(first, last)| *last - *first > Duration::from_millis(400))
     );
     let soon = NOW + Duration::from_millis(1_900);
-    let waits = place(&fleet, &query(soon), QueuePosition::default(), soon);
+    let waits = place(&fleet, &query(soon), QueuePosition::default(), soon).decision;
     assert_eq!(waits, PlacementDecision::Wait, "the backoff ends in time");
 }
 
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -251,7 +251,7 @@
         for request in waiting {
             let position = QueuePosition::default();
             let fleet_state = &self.fleet_states[request.node];
-            let decision = place(fleet_state, &request.query, position, self.now);
+            let decision = place(fleet_state, &request.query, position, self.now).decision;
             match decision {
                 PlacementDecision::Wait => self.waiting.push(request),
                 PlacementDecision::Refuse { .. } => {},
--- a/crates/apricotknot-gateway/src/control/command.rs
+++ b/crates/apricotknot-gateway/src/control/command.rs
@@ -7,10 +7,12 @@
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::BackoffStatement;
 use apricotknot_core::fleet::PartCrashReport;
+use apricotknot_core::fleet::PlacementEvidence;
 use apricotknot_core::fleet::PlacementQuery;
 use apricotknot_core::fleet::PromptPartId;
 use apricotknot_core::fleet::RateStatement;
 use apricotknot_core::fleet::RequestFingerprint;
+use apricotknot_core::fleet::WaitCause;
 use apricotknot_core::types::AccountId;
 use apricotknot_core::types::AttemptId;
 use apricotknot_core::types::EndpointId;
@@ -62,6 +64,10 @@
     pub is_rate_limited: bool,
     /// Time from the start of the attempt until the answer is expected to begin.
     pub expected_start: Duration,
+    /// What was weighed.
+    pub evidence: PlacementEvidence,
+    /// What the request waited for last, if it waited.
+    pub waited_for: Option<WaitCause>,
 }
 
 impl EndpointGrant {
@@ -85,12 +91,14 @@
 }
 
 /// Reports that an attempt may not be sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementRefusal {
     /// Reason, as callers and the log receive it.
     pub reason: &'static str,
     /// Time after which the caller should try again.
     pub retry_after: Duration,
+    /// What was weighed; `None` if the request was refused before.
+    pub evidence: Option<PlacementEvidence>,
 }
 
 /// One message from a traffic thread to the control thread.
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -6,9 +6,12 @@
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::HelperPart;
 use apricotknot_core::fleet::PlacementDecision;
+use apricotknot_core::fleet::PlacementEvidence;
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::PlacementVerdict;
 use apricotknot_core::fleet::QueuePosition;
+use apricotknot_core::fleet::WaitCause;
 use apricotknot_core::fleet::place;
 use apricotknot_core::fleet::refuse_hopeless;
 use apricotknot_core::types::AttemptId;
@@ -24,8 +27,11 @@
 use crate::control::wait_queue::WaitingRequest;
 
 /// Refusal of a request that crashes endpoints, or that has a part that does.
-const QUARANTINE_REFUSAL: PlacementRefusal =
-    PlacementRefusal { reason: "crashes endpoints", retry_after: Duration::from_secs(30) };
+const QUARANTINE_REFUSAL: PlacementRefusal = PlacementRefusal {
+    reason: "crashes endpoints",
+    retry_after: Duration::from_secs(30),
+    evidence: None,
+};
 
 /// Retry delay that callers are given when a retry is not allowed or no endpoint has room.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -52,11 +58,15 @@
         if !request.is_retry {
             limiter.record_request(&self.limits.retries, now);
         } else if !limiter.try_retry(&self.limits.retries, nodes, now) {
-            let reason = "retry budget spent";
-            let _ = reply.send(Err(PlacementRefusal { reason, retry_after: DEFAULT_RETRY_AFTER }));
+            let refusal = PlacementRefusal {
+                reason: "retry budget spent",
+                retry_after: DEFAULT_RETRY_AFTER,
+                evidence: None,
+            };
+            let _ = reply.send(Err(refusal));
             return;
         }
-        let mut waiting = WaitingRequest { request, reply };
+        let mut waiting = WaitingRequest { request, reply, waits_for: None };
         if !self.needs_peers(&waiting.request.query.service, now) {
             let unreached = std::mem::take(&mut waiting.request.unreached);
             waiting.request.query.excluded.extend(unreached);
@@ -64,7 +74,8 @@
         let query = &waiting.request.query;
         let tokens_ahead = self.wait_queue.tokens_before(query);
         if let Some(decision) = refuse_hopeless(&self.fleet, query, tokens_ahead, now) {
-            self.carry_out(waiting, decision, now);
+            let verdict = PlacementVerdict::held(decision, WaitCause::Turn);
+            self.carry_out(waiting, verdict, now);
             return;
         }
         let position = self.queue_position(query, now);
@@ -107,33 +118,41 @@
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
         self.placement_count += 1;
-        let decision = place(&self.fleet, &waiting.request.query, position, now);
-        self.carry_out(waiting, decision, now)
+        let verdict = place(&self.fleet, &waiting.request.query, position, now);
+        self.carry_out(waiting, verdict, now)
     }
 
-    /// Carries out the decision on a request; returns the request if it has to wait.
+    /// Carries out the verdict on a request; returns the request if it has to wait.
     fn carry_out(
         &mut self,
         waiting: WaitingRequest,
-        decision: PlacementDecision,
+        verdict: PlacementVerdict,
         now: MonotonicTime,
     ) -> Option<WaitingRequest> {
-        match decision {
-            PlacementDecision::Wait if waiting.request.may_wait => return Some(waiting),
-            PlacementDecision::Wait => {
-                let refusal =
-                    PlacementRefusal { reason: "no room", retry_after: DEFAULT_RETRY_AFTER };
-                let _ = waiting.reply.send(Err(refusal));
+        let PlacementVerdict { decision, evidence } = verdict;
+        let (reason, retry_after) = match decision {
+            PlacementDecision::Wait if waiting.request.may_wait => {
+                return Some(WaitingRequest { waits_for: evidence.cause, ..waiting });
             },
-            PlacementDecision::Refuse { reason, retry_after } => {
-                let _ = waiting.reply.send(Err(PlacementRefusal { reason, retry_after }));
+            PlacementDecision::Wait => ("no room", DEFAULT_RETRY_AFTER),
+            PlacementDecision::Refuse { reason, retry_after } => (reason, retry_after),
+            PlacementDecision::Send(plan) => {
+                self.grant(waiting, plan, evidence, now);
+                return None;
             },
-            PlacementDecision::Send(plan) => self.grant(waiting, plan, now),
-        }
+        };
+        let refusal = PlacementRefusal { reason, retry_after, evidence: Some(evidence) };
+        let _ = waiting.reply.send(Err(refusal));
         None
     }
 
-    fn grant(&mut self, waiting: WaitingRequest, plan: PlacementPlan, now: MonotonicTime) {
+    fn grant(
+        &mut self,
+        waiting: WaitingRequest,
+        plan: PlacementPlan,
+        evidence: PlacementEvidence,
+        now: MonotonicTime,
+    ) {
         let query = &waiting.request.query;
         let helpers: Option<Vec<HelperGrant>> =
             plan.helpers.iter().map(|part| self.grant_helper(part, query, now)).collect();
@@ -159,6 +178,8 @@
             helpers,
             is_rate_limited,
             expected_start,
+            evidence,
+            waited_for: waiting.waits_for,
         };
         // A grant that is not received reports its end when it is dropped.
         let _ = waiting.reply.send(Ok(grant));
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -4,6 +4,7 @@
 
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::PlacementQuery;
+use apricotknot_core::fleet::WaitCause;
 use apricotknot_core::fleet::WaitSnapshot;
 use apricotknot_core::types::MonotonicTime;
 use apricotknot_core::types::ServiceId;
@@ -22,6 +23,8 @@
 pub(super) struct WaitingRequest {
     pub(super) request: Box<PlacementRequest>,
     pub(super) reply: PlacementSender,
+    /// What kept the request from being sent when it was last tried.
+    pub(super) waits_for: Option<WaitCause>,
 }
 
 /// Holds the waiting requests, in no particular order.
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -5,6 +5,7 @@
 
 use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::RateStatement;
+use apricotknot_core::fleet::WaitCause;
 use apricotknot_core::types::EndpointId;
 use apricotknot_core::types::NodeId;
 use slog::info;
@@ -14,9 +15,11 @@
 use super::attempt::OpenAttempt;
 use super::call_driver::CallDriver;
 use crate::CallLabels;
+use crate::PlacementLabels;
 use crate::clock::millis;
 use crate::control::ControlCommand;
 use crate::control::EndpointGrant;
+use crate::control::PlacementRefusal;
 use crate::protocol::AnswerMetadata;
 use crate::protocol::CallProtocol;
 
@@ -65,8 +68,9 @@
         });
     }
 
-    /// Logs the endpoint of the next attempt, and the state of the placement.
+    /// Counts the placement of the next attempt, and logs it with what was weighed.
     pub(super) fn log_placement(&self, grant: &EndpointGrant) {
+        self.count_placement("placed", grant.waited_for);
         info!(
             self.context.logger, "call: placed";
             "request" => %self.call.metadata.request_id, "endpoint" => %grant.endpoint,
@@ -75,12 +79,38 @@
             "helpers" => grant.helpers.len(), "held" => grant.reserved_tokens(),
             "prompt" => self.call.metadata.size.prompt, "rank" => self.call.rank,
             "expected_ms" => millis(grant.expected_start),
+            "waited_for" => grant.waited_for.map(WaitCause::name),
+            "value" => rounded(grant.evidence.net_value), "price" => rounded(grant.evidence.price),
+            "utilization" => rounded(grant.evidence.utilization),
             "waited_ms" => millis(self.now().saturating_sub(self.call.arrived)),
             "version" => self.call.configuration_version,
             "knowledge_ms" => millis(self.call.configuration_age)
         );
     }
 
+    /// Counts the refusal of an attempt, and logs it with what was weighed.
+    pub(super) fn log_refusal(&self, refusal: &PlacementRefusal) {
+        let evidence = refusal.evidence.unwrap_or_default();
+        self.count_placement("refused", evidence.cause);
+        info!(
+            self.context.logger, "call: not placed";
+            "request" => %self.call.metadata.request_id, "reason" => refusal.reason,
+            "retry_after_ms" => millis(refusal.retry_after),
+            "waited_for" => evidence.cause.map(WaitCause::name),
+            "value" => rounded(evidence.net_value), "price" => rounded(evidence.price),
+            "utilization" => rounded(evidence.utilization), "ahead" => evidence.rank,
+            "prompt" => self.call.metadata.size.prompt, "rank" => self.call.rank,
+            "waited_ms" => millis(self.now().saturating_sub(self.call.arrived))
+        );
+    }
+
+    fn count_placement(&self, outcome: &'static str, cause: Option<WaitCause>) {
+        let waited_for = cause.map_or("nothing", WaitCause::name);
+        let kind = self.call.route.kind.name();
+        let labels = PlacementLabels { kind, outcome, waited_for };
+        self.context.metrics.placements.get_or_create(&labels).inc();
+    }
+
     /// Logs that a peer has connected to the endpoint of an attempt.
     pub(super) fn log_relayed(&self, endpoint: &EndpointId, peer: &NodeId) {
         info!(
@@ -163,3 +193,8 @@
         self.endpoint.as_deref().unwrap_or_default()
     }
 }
+
+/// Returns a value or price with the two decimals that a log needs.
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -44,10 +44,13 @@
                 self.log_placement(&grant);
                 Ok(grant)
             },
-            Ok(Ok(Err(refusal))) => Err(self.failure_outcome(Some(CallFault::Refused {
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            }))),
+            Ok(Ok(Err(refusal))) => {
+                self.log_refusal(&refusal);
+                Err(self.failure_outcome(Some(CallFault::Refused {
+                    reason: refusal.reason,
+                    retry_after: refusal.retry_after,
+                })))
+            },
             Ok(Err(_)) => Err(self.failure_outcome(None)),
         }
     }
--- a/crates/apricotknot-gateway/src/lib.rs
+++ b/crates/apricotknot-gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub use gateway_settings::GatewaySettings;
 pub use metrics::CallLabels;
 pub use metrics::GatewayMetrics;
+pub use metrics::PlacementLabels;
--- a/crates/apricotknot-gateway/src/metrics.rs
+++ b/crates/apricotknot-gateway/src/metrics.rs
@@ -32,6 +32,17 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a decision on the placement of a call.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct PlacementLabels {
+    /// Kind of the call, as its route states it.
+    pub kind: &'static str,
+    /// Whether the call was `placed` or `refused`.
+    pub outcome: &'static str,
+    /// What the call waited for last, or `nothing`.
+    pub waited_for: &'static str,
+}
+
 /// Holds all metrics of a node; can be shared between threads.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -40,6 +51,8 @@
     pub calls: Family<CallLabels, Counter>,
     /// Attempts at endpoints that have ended, by kind of call and outcome.
     pub attempts: Family<CallLabels, Counter>,
+    /// Decisions on the placement of calls, by kind of call, outcome and what they waited for.
+    pub placements: Family<PlacementLabels, Counter>,
     /// Time from the arrival of a call to the start of its answer, in seconds.
     pub answer_begin: Histogram,
     /// Calls that are in progress.
@@ -65,6 +78,7 @@
     pub fn new() -> Self {
         let calls = Family::default();
         let attempts = Family::default();
+        let placements = Family::default();
         let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, BUCKET_FACTOR, BUCKET_COUNT);
         let answer_begin = Histogram::new(buckets);
         let open_calls = Gauge::default();
@@ -76,6 +90,7 @@
         let mut registry = Registry::with_prefix("apricotknot_gateway");
         registry.register("calls", "Calls that ended", calls.clone());
         registry.register("attempts", "Attempts that ended", attempts.clone());
+        registry.register("placements", "Placements decided", placements.clone());
         registry.register("answer_begin_seconds", "Time to the answer", answer_begin.clone());
         registry.register("open_calls", "Calls that are open", open_calls.clone());
         registry.register("open_relays", "Connections relayed for peers", open_relays.clone());
@@ -93,6 +108,7 @@
             registry,
             calls,
             attempts,
+            placements,
             answer_begin,
             open_calls,
             open_relays,
