fleet: parts of a prompt are read nearby first where distant work becomes known late

Cause: an answer begins after its last part. Ruled out: too little prefill time.

Change: choice_costs.rs holds what late knowledge costs. How nodes learn of one another (LoadKnowledge) replaces comparisons with a number of nodes in four places. Small fleets decide as before.

Test: fleet_locality::parts_of_a_prompt_are_read_nearby_while_engines_there_are_idle failed before.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -129,7 +129,7 @@
     fleet: &FleetState,
     now: MonotonicTime,
 ) -> BTreeMap<&EndpointId, EndpointLoad> {
-    let values = RequestValues::new(fleet.node_count());
+    let values = RequestValues::new(fleet.load_knowledge());
     let mut loads: BTreeMap<&EndpointId, EndpointLoad> = BTreeMap::new();
     for work in fleet.work_items(now) {
         loads.entry(&work.endpoint).or_default().add(work, values);
--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -9,6 +9,7 @@
 use super::AttemptEnd;
 use super::EndpointEntry;
 use super::EndpointPhase;
+use super::LoadKnowledge;
 use super::LoadSnapshot;
 use super::NodeOrder;
 use super::PathHealth;
@@ -359,6 +360,11 @@
         })
     }
 
+    /// Returns how the work of other nodes becomes known.
+    pub(super) fn load_knowledge(&self) -> LoadKnowledge {
+        LoadKnowledge::in_fleet_of(self.node_count())
+    }
+
     /// Returns the number of nodes that share the limits of the fleet, this one included.
     pub fn node_count(&self) -> usize {
         self.node_order.count()
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! failure of a node blocks no decision.
 
 mod backoff_table;
+mod choice_costs;
 mod crash_history;
 mod endpoint;
 mod endpoint_leaving;
@@ -17,6 +18,7 @@
 mod fleet_state;
 mod health_record;
 mod leaving_table;
+mod load_knowledge;
 mod load_snapshot;
 mod node_order;
 mod part_history;
@@ -52,6 +54,7 @@
 pub use health_record::AttemptEnd;
 pub use health_record::HealthRecord;
 pub use leaving_table::LeavingReport;
+pub use load_knowledge::LoadKnowledge;
 pub use load_snapshot::LoadSnapshot;
 pub use load_snapshot::WaitSnapshot;
 pub use load_snapshot::WorkSnapshot;
@@ -95,8 +98,3 @@
 pub use work::WorkItem;
 pub use work::WorkPhase;
 pub use work::WorkRole;
-
-/// Largest number of nodes that all send their load snapshots to one another directly.
-///
-/// In a larger fleet, nodes of other data centres become known through digests.
-pub const MAX_DIRECT_NODES: usize = 24;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -9,7 +9,7 @@
 
 use super::EngineModel;
 use super::FleetState;
-use super::MAX_DIRECT_NODES;
+use super::LoadKnowledge;
 use super::PlacementDecision;
 use super::PlacementEvidence;
 use super::PlacementPlan;
@@ -18,6 +18,7 @@
 use super::QueuePosition;
 use super::RateTurn;
 use super::WaitCause;
+use super::choice_costs::ChoiceCosts;
 use super::endpoint_load::EndpointLoad;
 use super::endpoint_load::sum_loads;
 use super::endpoint_state::EndpointState;
@@ -37,31 +38,6 @@
 /// Fraction of an engine's memory that requests may occupy.
 const USABLE_MEMORY_FRACTION: f64 = 0.97;
 
-/// Number of nodes up to which each node receives the choices of the others before its own next
-/// choice, so that no jitter is needed.
-const NODES_WITHOUT_JITTER: usize = 10;
-
-/// Maximum jitter cost of an endpoint per node beyond [`NODES_WITHOUT_JITTER`].
-const JITTER_PER_NODE: f64 = 0.008;
-
-/// Upper limit of the jitter cost for any number of nodes.
-const MAX_JITTER: f64 = 0.5;
-
-/// Cost of an endpoint in another data centre, in units of request value, in a fleet of more than
-/// [`MAX_DIRECT_NODES`].
-///
-/// Work that nodes of other data centres give it becomes known later than that of nearby nodes.
-const REMOTE_COST: f64 = 0.3;
-
-/// Cost of an endpoint whose last free slot would be taken, in units of request value, in such a
-/// fleet.
-///
-/// The more of its slots are in use, the more likely a request that is not known yet takes the rest.
-const CROWDING_COST: f64 = 0.8;
-
-/// Fraction of an endpoint's slots up to which there is no [`CROWDING_COST`].
-const UNCROWDED_FRACTION: f64 = 0.6;
-
 /// Retry delay that is sent to a caller when no endpoint had room in time.
 pub(super) const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
 
@@ -106,7 +82,6 @@
     }
     let endpoint_count = eligible.len();
     let mut loads = sum_loads(fleet, now);
-    let jitter_scale = jitter_scale(fleet.node_count());
     let available = eligible.into_iter().filter(|state| {
         fleet.may_send(state, now)
             && !state.health.is_backing_off(now)
@@ -114,7 +89,7 @@
     });
     let candidates = available.map(|state| {
         let load = loads.remove(&state.entry.id).unwrap_or_default();
-        candidate_for(fleet, state, load, jitter_scale, now)
+        candidate_for(fleet, state, load, now)
     });
     let plan = match engine {
         Some(engine) => best_plan(engine, candidates.collect(), plan_rules(fleet), query, now),
@@ -162,7 +137,6 @@
     fleet: &FleetState,
     state: &EndpointState,
     load: EndpointLoad,
-    jitter_scale: f64,
     now: MonotonicTime,
 ) -> PlacementCandidate {
     let engine = fleet.service(&state.entry.service).and_then(|profile| profile.engine.as_ref());
@@ -178,39 +152,19 @@
         may_help: now >= state.entry.cold_until && fleet.rate_limit(state, now).is_none(),
         backlog: load.backlog(now),
         helper_backlog: load.helper_backlog(now),
-        choice_cost: state.jitter * jitter_scale + staleness_cost(fleet, state, &load),
+        choice_costs: ChoiceCosts::of(fleet, state, &load),
         load,
     }
 }
 
-/// Returns the largest jitter cost of an endpoint in a fleet of `node_count` nodes.
-///
-/// Nodes that choose concurrently have not yet received each other's choices. Without jitter, all
-/// of them would choose the same endpoint.
-fn jitter_scale(node_count: usize) -> f64 {
-    (JITTER_PER_NODE * node_count.saturating_sub(NODES_WITHOUT_JITTER) as f64).min(MAX_JITTER)
-}
-
 /// Returns the rules of plans, by how late the work of other nodes becomes known.
 fn plan_rules(fleet: &FleetState) -> PlanRules {
-    let order = match fleet.node_count() {
-        ..=MAX_DIRECT_NODES => HelperOrder::CostFirst,
-        _ => HelperOrder::CostAndTime,
+    let knowledge = fleet.load_knowledge();
+    let orders: &[HelperOrder] = match knowledge {
+        LoadKnowledge::Direct => &[HelperOrder::CostFirst],
+        LoadKnowledge::Digests => &[HelperOrder::Nearby, HelperOrder::Anywhere],
     };
-    PlanRules { order, values: RequestValues::new(fleet.node_count()) }
-}
-
-/// Returns the cost of what this node may not know yet of an endpoint's work.
-///
-/// In a small fleet, each node receives the choices of the others before its own next one.
-fn staleness_cost(fleet: &FleetState, state: &EndpointState, load: &EndpointLoad) -> f64 {
-    if fleet.node_count() <= MAX_DIRECT_NODES {
-        return 0.0;
-    }
-    let used_fraction = f64::from(load.running) / f64::from(state.entry.slots.max(1));
-    let crowding = (used_fraction - UNCROWDED_FRACTION) / (1.0 - UNCROWDED_FRACTION);
-    let remote = if fleet.is_remote(&state.entry.data_centre) { REMOTE_COST } else { 0.0 };
-    remote + CROWDING_COST * crowding.max(0.0)
+    PlanRules { orders, values: RequestValues::new(knowledge) }
 }
 
 /// Chooses the endpoint of a plain service with the lowest cost, which is mainly its slot usage.
@@ -219,7 +173,7 @@
         let used_fraction = f64::from(candidate.load.running) / f64::from(candidate.slots);
         used_fraction * candidate.slowdown
             + candidate.failure_rate * FAILURE_COST
-            + candidate.choice_cost
+            + candidate.choice_costs.any
     };
     let best = candidates.into_iter().min_by(|left, right| cost(left).total_cmp(&cost(right)))?;
     Some(ScoredPlan {
--- a/crates/apricotknot-core/src/fleet/placement_candidate.rs
+++ b/crates/apricotknot-core/src/fleet/placement_candidate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::choice_costs::ChoiceCosts;
 use super::endpoint_load::EndpointLoad;
 use crate::types::EndpointId;
 use crate::types::TokenCount;
@@ -22,7 +23,7 @@
     pub(super) backlog: Duration,
     /// Time until its prefills as a helper are done.
     pub(super) helper_backlog: Duration,
-    /// Cost that makes nodes choose differently among nearly equal endpoints.
-    pub(super) choice_cost: f64,
+    /// Costs that make nodes choose differently among nearly equal endpoints.
+    pub(super) choice_costs: ChoiceCosts,
     pub(super) load: EndpointLoad,
 }
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -51,22 +51,41 @@
 pub(super) enum HelperOrder {
     /// Those that cost other requests least come first, then those that are ready soonest.
     CostFirst,
-    /// The cost and the time until ready count together.
+    /// The cost and the time until ready count together, and endpoints nearby come first.
     ///
     /// Where work becomes known late, many nodes would otherwise take the few endpoints that seem to
     /// cost nothing.
-    CostAndTime,
+    Nearby,
+    /// The cost and the time until ready count together, wherever the endpoint is.
+    Anywhere,
 }
 
 /// Rules of plans that follow from the size of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlanRules {
-    /// Order in which endpoints are taken as helpers.
-    pub(super) order: HelperOrder,
+    /// Orders in which endpoints are taken as helpers; a later one counts if no plan of those before it
+    /// is on time.
+    pub(super) orders: &'static [HelperOrder],
     /// Values of requests.
     pub(super) values: RequestValues,
 }
 
+/// Number of endpoints that prefill a prompt, and the time of each part.
+#[derive(Clone, Copy, Debug)]
+struct PartSize {
+    count: usize,
+    time: Duration,
+}
+
+impl PartSize {
+    /// Returns whether the parts are neither too short nor too long where `all` endpoints could help.
+    fn is_sensible(self, all: usize) -> bool {
+        let is_too_short = self.count > 1 && self.time < MIN_PART_TIME;
+        let is_too_long = self.time > MAX_PART_TIME && self.count < all;
+        !is_too_short && !is_too_long
+    }
+}
+
 /// A plan with its estimated value.
 #[derive(Clone, Debug)]
 pub(super) struct ScoredPlan {
@@ -110,43 +129,48 @@
     let helpers = candidates.iter().filter(|candidate| candidate.may_help).count();
     let all = helpers.clamp(1, MAX_ENDPOINTS);
     let counts = ENDPOINT_COUNTS.into_iter().filter(|count| *count < all).chain([all]);
-    let plans = counts.filter_map(|count| {
-        let parts = u32::try_from(count).unwrap_or(u32::MAX);
-        let part_time = prefill / parts;
-        let is_too_short = count > 1 && part_time < MIN_PART_TIME;
-        let is_too_long = part_time > MAX_PART_TIME && count < all;
-        if is_too_short || is_too_long {
-            return None;
+    let sizes: Vec<PartSize> = counts
+        .map(|count| PartSize { count, time: prefill / u32::try_from(count).unwrap_or(u32::MAX) })
+        .filter(|size| size.is_sensible(all))
+        .collect();
+    let mut best: Option<ScoredPlan> = None;
+    for order in rules.orders {
+        let plans = sizes.iter().filter_map(|size| {
+            let plan =
+                plan_with_parts(engine, &candidates, (*order, rules.values), query, *size, now)?;
+            // A late prompt takes only engines without a prefill, which others miss less.
+            let is_full_price = plan.is_timely || *order == HelperOrder::CostFirst;
+            let share = if is_full_price { 1.0 } else { LATE_VALUE_FRACTION };
+            let time_price = price.of_time(prefill) * share;
+            Some(ScoredPlan { time_price, utilization: price.utilization(), ..plan })
+        });
+        let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
+        best = plans.chain(best).max_by(|left, right| surplus(left).total_cmp(&surplus(right)));
+        if best.as_ref().is_some_and(|plan| plan.is_timely) {
+            break;
         }
-        let plan = plan_with_count(engine, &candidates, rules, query, (count, part_time), now)?;
-        // A late prompt takes only engines without a prefill, which others miss less.
-        let is_full_price = plan.is_timely || rules.order == HelperOrder::CostFirst;
-        let share = if is_full_price { 1.0 } else { LATE_VALUE_FRACTION };
-        let time_price = price.of_time(prefill) * share;
-        Some(ScoredPlan { time_price, utilization: price.utilization(), ..plan })
-    });
-    let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
-    plans.max_by(|left, right| surplus(left).total_cmp(&surplus(right)))
+    }
+    best
 }
 
-/// Returns the best plan over `count` endpoints that prefill for `part_time` each.
+/// Returns the best plan over as many endpoints as there are parts, taken in `order`.
 ///
 /// Returns `None` if fewer endpoints can take part or their free memory is too small.
-fn plan_with_count(
+fn plan_with_parts(
     engine: &EngineModel,
     candidates: &[PlacementCandidate],
-    rules: PlanRules,
+    (order, values): (HelperOrder, RequestValues),
     query: &PlacementQuery,
-    (count, part_time): (usize, Duration),
+    PartSize { count, time: part_time }: PartSize,
     now: MonotonicTime,
 ) -> Option<ScoredPlan> {
     let mut scored_candidates: Vec<ScoredCandidate<'_>> =
         candidates.iter().map(|candidate| score_candidate(engine, candidate, part_time)).collect();
     scored_candidates.sort_by(|left, right| {
-        let (left, right) = (left.sort_key(rules.order), right.sort_key(rules.order));
+        let (left, right) = (left.sort_key(order), right.sort_key(order));
         left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
     });
-    let runner = choose_runner(engine, &scored_candidates, rules.values, query, count)?;
+    let runner = choose_runner(engine, &scored_candidates, (order, values), query, count)?;
     let runner = scored_candidates.remove(runner);
     let helpers: Vec<&ScoredCandidate<'_>> = scored_candidates
         .iter()
@@ -166,7 +190,7 @@
     let cost: f64 = runner.cost + helpers.iter().map(|helper| helper.cost).sum::<f64>();
     let is_timely = now.saturating_sub(query.arrived) + first_event
         <= query.target_latency.mul_f64(TIMELY_FRACTION);
-    let value = rules.values.of(query.size.prompt, query.rank);
+    let value = values.of(query.size.prompt, query.rank);
     let gain = if is_timely { value } else { value * LATE_VALUE_FRACTION };
     let horizon = match is_timely {
         true => query.target_latency,
@@ -176,7 +200,7 @@
     let net_value = gain * (1.0 - LATENCY_COST * time_fraction.min(1.0))
         - cost
         - ENDPOINT_COST * count as f64
-        - packing_cost(engine, &runner.candidate.load, rules.values, query);
+        - packing_cost(engine, &runner.candidate.load, values, query);
     Some(ScoredPlan {
         net_value,
         time_price: 0.0,
@@ -200,11 +224,21 @@
 impl ScoredCandidate<'_> {
     /// Returns the key that orders helpers.
     fn sort_key(&self, order: HelperOrder) -> (f64, Duration) {
-        let choice_time = Duration::from_secs_f64(self.candidate.choice_cost / READY_COST);
+        let choice_time = Duration::from_secs_f64(self.choice_cost(order) / READY_COST);
         let ready = self.helper_ready + choice_time;
         match order {
             HelperOrder::CostFirst => (self.cost, ready),
-            HelperOrder::CostAndTime => (self.cost + ready.as_secs_f64() * READY_COST, ready),
+            HelperOrder::Nearby | HelperOrder::Anywhere => {
+                (self.cost + ready.as_secs_f64() * READY_COST, ready)
+            },
+        }
+    }
+
+    /// Returns the cost of choosing the endpoint for a part.
+    fn choice_cost(&self, order: HelperOrder) -> f64 {
+        match order {
+            HelperOrder::Nearby => self.candidate.choice_costs.nearby_part,
+            HelperOrder::CostFirst | HelperOrder::Anywhere => self.candidate.choice_costs.any,
         }
     }
 }
@@ -232,7 +266,7 @@
 fn choose_runner(
     engine: &EngineModel,
     scored_candidates: &[ScoredCandidate<'_>],
-    values: RequestValues,
+    (order, values): (HelperOrder, RequestValues),
     query: &PlacementQuery,
     count: usize,
 ) -> Option<usize> {
@@ -247,11 +281,21 @@
         let time_fraction =
             (scored.runner_ready + interval).as_secs_f64() / query.target_latency.as_secs_f64();
         let missing = query.size.memory().saturating_sub(scored.candidate.free_memory);
+        let time_cost = values.of(query.size.prompt, query.rank) * LATENCY_COST * time_fraction;
+        let is_compared_by_time = count > 1 && order != HelperOrder::CostFirst;
+        // The answer waits for the runner's part like for those of the helpers.
+        let (time_cost, choice_cost) = match is_compared_by_time {
+            true => {
+                let ready_cost = scored.runner_ready.as_secs_f64() * READY_COST;
+                (time_cost.max(ready_cost), scored.choice_cost(order))
+            },
+            false => (time_cost, scored.candidate.choice_costs.any),
+        };
         scored.cost
-            + values.of(query.size.prompt, query.rank) * LATENCY_COST * time_fraction
+            + time_cost
             + packing_cost(engine, load, values, query)
             + values.of(missing, query.rank)
-            + scored.candidate.choice_cost
+            + choice_cost
     };
     let with_room = scored_candidates.iter().enumerate().filter(|(_, scored)| has_room(scored));
     let best = with_room.min_by(|left, right| cost(left.1).total_cmp(&cost(right.1)));
--- a/crates/apricotknot-core/src/fleet/request_value.rs
+++ b/crates/apricotknot-core/src/fleet/request_value.rs
@@ -1,27 +1,25 @@
 //! Value of requests to their callers, in the unit of one very short request of the usual rank.
 
-use super::MAX_DIRECT_NODES;
+use super::LoadKnowledge;
 use super::WorkItem;
 use crate::types::PriorityRank;
 use crate::types::TokenCount;
 
-/// Prompt tokens that add as much value as the request itself, in a fleet of at most
-/// [`MAX_DIRECT_NODES`].
+/// Prompt tokens that add as much value as the request itself, where nodes know one another's choices.
 ///
 /// A caller with a longer prompt waits for more work, which is lost if the answer is late.
 const DIRECT_TOKENS_PER_VALUE: f64 = 12_000.0;
 
-/// Prompt tokens that add as much value as the request itself, in a larger fleet.
+/// Prompt tokens that add as much value as the request itself, where digests tell them.
 ///
-/// There, short requests that other nodes place become known late, so a plan shows only a part of
+/// Short requests that other nodes place become known late, so a plan shows only a part of
 /// what a long prompt costs them.
-const LARGE_FLEET_TOKENS_PER_VALUE: f64 = 60_000.0;
+const DIGEST_TOKENS_PER_VALUE: f64 = 60_000.0;
 
 /// Value below which a prompt is packed beside others.
 const PACKED_VALUE: f64 = 3.0;
 
-/// Factor of the value from each priority rank to the next, in a fleet of more than
-/// [`MAX_DIRECT_NODES`].
+/// Factor of the value from each priority rank to the next, where digests tell choices.
 ///
 /// A rank decides among requests that are nearly alike; it does not let a short prompt of one account
 /// push out a long one of another.
@@ -41,11 +39,11 @@
 }
 
 impl RequestValues {
-    /// Creates the values in a fleet of `node_count` nodes.
-    pub(super) fn new(node_count: usize) -> Self {
-        let (tokens_per_value, rank_factor) = match node_count {
-            ..=MAX_DIRECT_NODES => (DIRECT_TOKENS_PER_VALUE, 1.0),
-            _ => (LARGE_FLEET_TOKENS_PER_VALUE, RANK_FACTOR),
+    /// Creates the values where nodes learn of one another's work by `knowledge`.
+    pub(super) fn new(knowledge: LoadKnowledge) -> Self {
+        let (tokens_per_value, rank_factor) = match knowledge {
+            LoadKnowledge::Direct => (DIRECT_TOKENS_PER_VALUE, 1.0),
+            LoadKnowledge::Digests => (DIGEST_TOKENS_PER_VALUE, RANK_FACTOR),
         };
         Self { tokens_per_value, rank_factor }
     }
--- a/crates/apricotknot-core/tests/fleet_locality.rs
+++ b/crates/apricotknot-core/tests/fleet_locality.rs
@@ -19,7 +19,11 @@
 const NOW: Duration = Duration::from_secs(50);
 
 fn fleet(nodes: usize) -> FleetState {
-    let mut fleet = FleetState::new("node-0", BTreeMap::from([("here".into(), "region".into())]));
+    fleet_of("node-0", nodes)
+}
+
+fn fleet_of(node: &str, nodes: usize) -> FleetState {
+    let mut fleet = FleetState::new(node, BTreeMap::from([("here".into(), "region".into())]));
     fleet.set_data_centre("here".into());
     let engine = EngineModel {
         slots: 4,
@@ -96,6 +100,28 @@
     assert!(local <= 24, "there are 24 slots nearby");
 }
 
+/// Guards against parts of a prompt that queue behind work at distant engines, known too late.
+#[test]
+fn parts_of_a_prompt_are_read_nearby_while_engines_there_are_idle() {
+    for node in 0..20 {
+        let fleet = fleet_of(&format!("node-{node}"), 60);
+        let mut query = short_query();
+        query.size.prompt = 100_000;
+        query.target_latency = Duration::from_secs(3);
+        query.pause_limit = Duration::from_secs(1);
+        let decision = place(&fleet, &query, QueuePosition::default(), NOW).decision;
+        let PlacementDecision::Send(plan) = decision else {
+            panic!("all engines are idle: {decision:?}");
+        };
+        let readers = plan.helpers.iter().map(|part| &part.endpoint).chain([&plan.endpoint]);
+        let nearby = readers.filter(|endpoint| {
+            let centre = fleet.endpoint(endpoint).map(|state| &state.entry.data_centre);
+            centre.is_some_and(|centre| !fleet.is_remote(centre))
+        });
+        assert_eq!(nearby.count(), 6.min(plan.helpers.len() + 1), "{plan:?}");
+    }
+}
+
 #[test]
 fn small_fleet_uses_all_data_centres_alike() {
     let (_, remote) = place_all(&mut fleet(8), 24);
--- a/crates/apricotknot-gateway/src/peers/snapshot_router.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_router.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use apricotknot_core::fleet::LoadKnowledge;
 use apricotknot_core::fleet::LoadSnapshot;
-use apricotknot_core::fleet::MAX_DIRECT_NODES;
 use apricotknot_core::fleet::RelayedSnapshot;
 use apricotknot_core::membership::hash_text;
 use apricotknot_core::types::DataCentreId;
@@ -98,12 +98,14 @@
     /// Replaces the other nodes by `peers`.
     pub fn set_peers(&mut self, peers: impl IntoIterator<Item = SnapshotPeer>) {
         let peers: Vec<SnapshotPeer> = peers.into_iter().collect();
-        let is_small = peers.len() < MAX_DIRECT_NODES;
+        let knowledge = LoadKnowledge::in_fleet_of(peers.len() + 1);
         self.direct.clear();
         self.remote.clear();
         for peer in peers {
             match &peer.data_centre {
-                Some(centre) if !is_small && *centre != self.data_centre => {
+                Some(centre)
+                    if knowledge == LoadKnowledge::Digests && *centre != self.data_centre =>
+                {
                     self.remote.entry(centre.clone()).or_default().push(peer);
                 },
                 _ => _ = self.direct.insert(peer.node, peer.address),
