fleet: prefills behind one that is done still count in the estimate of an engine's queue

Cause: the backlog of an engine was summed from the requests in progress. Each one that begins or ends leaves the sum, and those behind it were then taken to have begun when they were sent. The deeper the queue, the emptier it looked.

Change: PrefillQueue keeps the end of all prefills of an endpoint; a request that ends adds or takes nothing that was read.

Test: fleet_placement::prefills_behind_one_that_is_done_still_count failed before.

--- a/crates/apricotknot-core/src/fleet/endpoint_load.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_load.rs
@@ -37,10 +37,8 @@
     streams: Vec<(Duration, f64)>,
     /// Total value of the requests that the endpoint runs and has not begun to answer.
     prefill_value: f64,
-    /// Start and duration of each prefill for a request that the endpoint runs.
-    own_prefills: Vec<(MonotonicTime, Duration)>,
-    /// Start and duration of each prefill as a helper; these run before the endpoint's own.
-    helper_prefills: Vec<(MonotonicTime, Duration)>,
+    /// Whether a request has not begun to be answered of which the endpoint prefills all or a part.
+    has_prefill: bool,
 }
 
 impl EndpointLoad {
@@ -57,13 +55,9 @@
             }
             return;
         }
-        let prefill = (work.since, work.prefill_time);
-        match work.role {
-            WorkRole::Helper => self.helper_prefills.push(prefill),
-            WorkRole::Runner => {
-                self.own_prefills.push(prefill);
-                self.prefill_value += values.of_work(work);
-            },
+        self.has_prefill = true;
+        if work.role == WorkRole::Runner {
+            self.prefill_value += values.of_work(work);
         }
     }
 
@@ -72,20 +66,9 @@
         u32::try_from(self.streams.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the time until all prefills in progress are done, one after the other.
-    pub(super) fn backlog(&self, now: MonotonicTime) -> Duration {
-        let prefills = self.own_prefills.iter().chain(&self.helper_prefills).copied();
-        prefill_backlog(prefills.collect(), now)
-    }
-
-    /// Returns the time until the prefills as a helper are done, one after the other.
-    pub(super) fn helper_backlog(&self, now: MonotonicTime) -> Duration {
-        prefill_backlog(self.helper_prefills.clone(), now)
-    }
-
     /// Returns whether the endpoint has no prefill in progress.
     pub(super) fn has_no_prefill(&self) -> bool {
-        self.own_prefills.is_empty() && self.helper_prefills.is_empty()
+        !self.has_prefill
     }
 
     /// Returns the time between two events of the current streams if no prefill delays them.
@@ -117,13 +100,6 @@
     }
 }
 
-fn prefill_backlog(mut prefills: Vec<(MonotonicTime, Duration)>, now: MonotonicTime) -> Duration {
-    prefills.sort_unstable();
-    let ends = prefills.into_iter();
-    let end = ends.fold(MonotonicTime::ZERO, |end, (since, time)| end.max(since) + time);
-    end.saturating_sub(now)
-}
-
 /// Returns the total work of all nodes at each endpoint that has any.
 pub(super) fn sum_loads(
     fleet: &FleetState,
--- a/crates/apricotknot-core/src/fleet/endpoint_state.rs
+++ b/crates/apricotknot-core/src/fleet/endpoint_state.rs
@@ -11,6 +11,7 @@
 use super::RateTurn;
 use super::StatedRate;
 use super::StatementId;
+use super::prefill_queue::PrefillQueue;
 use crate::membership::hash_text;
 use crate::types::MonotonicTime;
 
@@ -41,6 +42,8 @@
     health_before: Option<HealthRecord>,
     /// What the endpoint stated last of its request rate, if it ever stated a limit.
     pub(super) stated_rate: Option<StatedRate>,
+    /// Prefills that all nodes sent to it.
+    pub(super) prefills: PrefillQueue,
 }
 
 impl EndpointState {
@@ -55,6 +58,7 @@
             memory_refused: None,
             health_before: None,
             stated_rate: None,
+            prefills: PrefillQueue::default(),
             entry,
         }
     }
--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -189,7 +189,9 @@
         let helpers = plan.helpers.iter();
         let helpers = helpers.map(|part| work(&part.endpoint, WorkRole::Helper, part.memory));
         let runner = work(&plan.endpoint, WorkRole::Runner, plan.memory);
-        self.own_work.insert(attempt, std::iter::once(runner).chain(helpers).collect());
+        let work_items: Vec<WorkItem> = std::iter::once(runner).chain(helpers).collect();
+        self.add_prefills(&work_items);
+        self.own_work.insert(attempt, work_items);
     }
 
     /// Records that the first event of an attempt's answer arrived.
@@ -208,9 +210,9 @@
 
     /// Records that an attempt ended, and updates the health of the endpoint that ran it.
     pub fn record_end(&mut self, attempt: AttemptId, end: AttemptEnd, now: MonotonicTime) {
-        let Some(work) =
-            self.own_work.remove(&attempt).and_then(|work_items| work_items.into_iter().next())
-        else {
+        let work_items = self.own_work.remove(&attempt).unwrap_or_default();
+        self.withdraw_prefills(&work_items, now);
+        let Some(work) = work_items.into_iter().next() else {
             return;
         };
         if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
@@ -248,11 +250,16 @@
         if known.is_some_and(|view| (view.incarnation, view.sequence) >= order) {
             return false;
         }
+        let work_items = work_items(snapshot.works, &snapshot.ranks, now);
+        let known = self.peers.remove(&snapshot.node).map(|view| view.work_items);
+        let known = known.unwrap_or_default();
+        self.add_prefills(&prefills_missing_in(&known, &work_items));
+        self.withdraw_prefills(&prefills_missing_in(&work_items, &known), now);
         let view = PeerView {
             incarnation: snapshot.incarnation,
             sequence: snapshot.sequence,
             received: now,
-            work_items: work_items(snapshot.works, &snapshot.ranks, now),
+            work_items,
             waits: snapshot.waits,
             relay: snapshot.relay,
         };
@@ -260,6 +267,22 @@
         true
     }
 
+    fn add_prefills(&mut self, work_items: &[WorkItem]) {
+        for work in work_items.iter().filter(|work| work.phase == WorkPhase::Prefill) {
+            if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
+                state.prefills.add(work.role, work.since, work.prefill_time);
+            }
+        }
+    }
+
+    fn withdraw_prefills(&mut self, work_items: &[WorkItem], now: MonotonicTime) {
+        for work in work_items.iter().filter(|work| work.phase == WorkPhase::Prefill) {
+            if let Some(state) = self.endpoints.get_mut(&work.endpoint) {
+                state.prefills.withdraw(work.role, work.since, work.prefill_time, now);
+            }
+        }
+    }
+
     /// Removes the snapshots of nodes that have sent no new one for too long.
     pub fn remove_stale_peers(&mut self, now: MonotonicTime) {
         self.peers.retain(|_, view| view.received + SNAPSHOT_LIFETIME > now);
@@ -403,3 +426,25 @@
     let ranks = ranks.iter().copied().chain(std::iter::repeat(0));
     works.into_iter().zip(ranks).map(|(work, rank)| work.into_work_item(rank, now)).collect()
 }
+
+/// Returns the prefills of `work_items` that are not among those of `others`, each counted once.
+fn prefills_missing_in(others: &[WorkItem], work_items: &[WorkItem]) -> Vec<WorkItem> {
+    let is_prefill = |work: &&WorkItem| work.phase == WorkPhase::Prefill;
+    let mut others: Vec<&WorkItem> = others.iter().filter(is_prefill).collect();
+    let mut missing = Vec::new();
+    for work in work_items.iter().filter(is_prefill) {
+        match others.iter().position(|other| is_same_prefill(other, work)) {
+            Some(index) => _ = others.swap_remove(index),
+            None => missing.push(work.clone()),
+        }
+    }
+    missing
+}
+
+/// Returns whether two snapshots of a node mean the same prefill; its age differs by their delays.
+fn is_same_prefill(left: &WorkItem, right: &WorkItem) -> bool {
+    left.endpoint == right.endpoint
+        && left.role == right.role
+        && left.prompt == right.prompt
+        && left.prefill_time == right.prefill_time
+}
--- a/crates/apricotknot-core/src/fleet/mod.rs
+++ b/crates/apricotknot-core/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod placement_evidence;
 mod placement_plan;
 mod placement_query;
+mod prefill_queue;
 mod prompt_split;
 mod rate_turn;
 mod relay_choice;
--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -150,8 +150,8 @@
         failure_rate: state.health.failure_rate(now),
         slowdown: state.health.slowdown(now),
         may_help: now >= state.entry.cold_until && fleet.rate_limit(state, now).is_none(),
-        backlog: load.backlog(now),
-        helper_backlog: load.helper_backlog(now),
+        backlog: state.prefills.backlog(now),
+        helper_backlog: state.prefills.parts_backlog(now),
         choice_costs: ChoiceCosts::of(fleet, state, &load),
         load,
     }
--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use apricotknot_core::fleet::AttemptEnd;
 use apricotknot_core::fleet::EndpointPhase;
 use apricotknot_core::fleet::FleetState;
 use apricotknot_core::fleet::PlacementDecision;
@@ -207,6 +208,31 @@
     expect_sent(decide(&fleet_state, &query(&TICKET, NOW), FIRST, NOW));
 }
 
+/// Guards against prompts that pile up at an engine which forgets a queue as its first request begins.
+#[test]
+fn prefills_behind_one_that_is_done_still_count() {
+    let mut fleet_state = fleet_state(1);
+    let prefill_time = Duration::from_secs(1);
+    for attempt in 0..3 {
+        let plan = PlacementPlan {
+            endpoint: "engine-0".into(),
+            memory: 50_000,
+            helpers: Vec::new(),
+            prefill_time,
+            expected_start: prefill_time,
+        };
+        fleet_state.record_start(attempt, &query(&ARCHIVE, NOW), &plan, NOW);
+    }
+    let later = NOW + prefill_time;
+    fleet_state.record_first_event(0, later);
+    let plan = expect_sent(decide(&fleet_state, &query(&TICKET, later), FIRST, later));
+    assert!(plan.expected_start >= 2 * prefill_time, "{plan:?}");
+    let mut other = fleet_state.clone();
+    other.record_end(1, AttemptEnd::Abandoned, later);
+    let plan = expect_sent(decide(&other, &query(&TICKET, later), FIRST, later));
+    assert!(plan.expected_start >= prefill_time, "{plan:?}");
+}
+
 /// The load is a burst of archives at 2.7 times the usual rate, then a burst of tickets at 2.5
 /// times.
 #[test]
