fleet: prompts that cost more than they gain are sent at a rate of their own, not never

Cause: a prompt is sent if its value, which rises with its length, exceeds the price of its engine time, which rises with the square. Above some length it never does while engines are in use, and neither price nor order knows for how long a prompt has waited. Class: a threshold between two quantities that grow at different rates.

Without state, and without a node asking another one.

--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -34,6 +34,7 @@
 use crate::types::PriorityRank;
 use crate::types::RegionId;
 use crate::types::ServiceId;
+use crate::types::TokenCount;
 
 /// Time after which the last snapshot of a node is ignored if no newer one arrives.
 const SNAPSHOT_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -44,13 +45,24 @@
 /// Maximum waiting requests in one load snapshot.
 const MAX_WAIT_SNAPSHOTS: usize = 16;
 
+/// A request that waits at another node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerWait {
+    /// Length of the prompt.
+    pub prompt: TokenCount,
+    /// Time at which it arrived there.
+    pub arrived: MonotonicTime,
+    /// Whether the price of engine time holds it.
+    pub is_held_by_price: bool,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct PeerView {
     incarnation: u64,
     sequence: u64,
     received: MonotonicTime,
     pub(super) work_items: Vec<WorkItem>,
-    waits: Vec<WaitSnapshot>,
+    waits: Vec<PeerWait>,
     pub(super) relay: Option<RelayStatus>,
 }
 
@@ -260,7 +272,7 @@
             sequence: snapshot.sequence,
             received: now,
             work_items,
-            waits: snapshot.waits,
+            waits: peer_waits(&snapshot.waits, &snapshot.price_waits, now),
             relay: snapshot.relay,
         };
         self.peers.insert(snapshot.node, view);
@@ -369,18 +381,9 @@
         self.own_work.values().flatten().chain(peers.flat_map(|view| &view.work_items))
     }
 
-    /// Returns the node, the prompt tokens and the time since arrival of each request that waits at
-    /// another node.
-    pub fn peer_waits(&self, now: MonotonicTime) -> impl Iterator<Item = (&NodeId, u64, Duration)> {
-        let peers =
-            self.peers.iter().filter(move |(_, view)| view.received + SNAPSHOT_LIFETIME > now);
-        peers.flat_map(move |(node, view)| {
-            let since = now.saturating_sub(view.received);
-            view.waits.iter().map(move |wait| {
-                let age = Duration::from_millis(u64::from(wait.age_ms)) + since;
-                (node, u64::from(wait.prompt), age)
-            })
-        })
+    /// Returns the requests that wait at other nodes.
+    pub fn peer_waits(&self, now: MonotonicTime) -> impl Iterator<Item = &PeerWait> {
+        self.recent_peers(now).flat_map(|(_, view)| &view.waits)
     }
 
     /// Returns how the work of other nodes becomes known.
@@ -417,6 +420,18 @@
     }
 }
 
+/// Returns the requests that wait at another node; one without a stated cause counts as not held by
+/// the price.
+fn peer_waits(waits: &[WaitSnapshot], price_waits: &[bool], now: MonotonicTime) -> Vec<PeerWait> {
+    let causes = price_waits.iter().copied().chain(std::iter::repeat(false));
+    let waits = waits.iter().zip(causes).map(|(wait, is_held_by_price)| PeerWait {
+        prompt: u64::from(wait.prompt),
+        arrived: now.saturating_sub(Duration::from_millis(u64::from(wait.age_ms))),
+        is_held_by_price,
+    });
+    waits.collect()
+}
+
 /// Returns the work of another node; work without a stated rank has the usual one.
 fn work_items(
     works: Vec<WorkSnapshot>,
--- a/crates/apricotknot-core/src/fleet/load_snapshot.rs
+++ b/crates/apricotknot-core/src/fleet/load_snapshot.rs
@@ -123,6 +123,10 @@
     /// Rank of each of the works, in their order; sent in a section of its own.
     #[serde(skip)]
     pub ranks: Vec<PriorityRank>,
+    /// Whether the price of engine time holds each of the waits, in their order; sent in a section of
+    /// its own.
+    #[serde(skip)]
+    pub price_waits: Vec<bool>,
     /// Snapshots of other nodes that the sender passes on; sent in a section of its own.
     #[serde(skip)]
     pub relayed: Vec<RelayedSnapshot>,
--- a/crates/apricotknot-core/src/fleet/placement_query.rs
+++ b/crates/apricotknot-core/src/fleet/placement_query.rs
@@ -30,6 +30,9 @@
     pub deadline: MonotonicTime,
     /// Rank of the request's priority.
     pub rank: PriorityRank,
+    /// Share of the price of engine time that the request pays, as [`price_share`](super::price_share)
+    /// returns it.
+    pub price_share: f64,
 }
 
 /// Position of a request among the waiting ones.
--- a/crates/apricotknot-core/src/fleet/prompt_split.rs
+++ b/crates/apricotknot-core/src/fleet/prompt_split.rs
@@ -141,7 +141,7 @@
             // A late prompt takes only engines without a prefill, which others miss less.
             let is_full_price = plan.is_timely || *order == HelperOrder::CostFirst;
             let share = if is_full_price { 1.0 } else { LATE_VALUE_FRACTION };
-            let time_price = price.of_time(prefill) * share;
+            let time_price = price.of_time(prefill) * share * query.price_share;
             Some(ScoredPlan { time_price, utilization: price.utilization(), ..plan })
         });
         let surplus = |plan: &ScoredPlan| plan.net_value - plan.time_price;
--- a/crates/apricotknot-core/src/scaling/load_sample.rs
+++ b/crates/apricotknot-core/src/scaling/load_sample.rs
@@ -48,7 +48,7 @@
             sample.add(work, engine, now);
         }
         if let Some(engine) = engine {
-            let peer_waits = fleet.peer_waits(now).map(|(_, prompt, _)| prompt);
+            let peer_waits = fleet.peer_waits(now).map(|wait| wait.prompt);
             let prompts = own_waits.iter().copied().chain(peer_waits);
             sample.waiting = prompts.map(|prompt| engine.prefill_time(prompt)).sum();
         }
--- a/crates/apricotknot-core/tests/fleet_locality.rs
+++ b/crates/apricotknot-core/tests/fleet_locality.rs
@@ -65,6 +65,7 @@
         pause_limit: Duration::from_millis(250),
         deadline: NOW + Duration::from_secs(10),
         rank: 0,
+        price_share: 1.0,
     }
 }
 
--- a/crates/apricotknot-core/tests/prompt_sizes.rs
+++ b/crates/apricotknot-core/tests/prompt_sizes.rs
@@ -11,6 +11,7 @@
 use apricotknot_core::fleet::PlacementPlan;
 use apricotknot_core::fleet::QueuePosition;
 use apricotknot_core::fleet::place;
+use apricotknot_core::fleet::price_share;
 use apricotknot_core::types::NodeId;
 
 use fleet_simulation::ARCHIVE;
@@ -57,9 +58,10 @@
 /// Returns the fraction of prompts of `length` that are sent as they arrive.
 fn sent_rate(fleet_state: &FleetState, length: u64) -> f64 {
     let now = NOW + Duration::from_secs(1);
-    let is_sent = |_call: &u32| {
+    let is_sent = |call: &u32| {
         let mut request = query(&ARCHIVE, now);
         request.size.prompt = length;
+        request.price_share = price_share((f64::from(*call) + 0.5) / 100.0);
         let decision = place(fleet_state, &request, QueuePosition::default(), now).decision;
         matches!(decision, PlacementDecision::Send(_))
     };
@@ -68,7 +70,6 @@
 
 /// Guards against an incident: no length of wait got the longest prompts sent beside short requests.
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 61"]
 fn longest_prompts_are_sent_at_least_half_as_often_as_their_kind_under_steady_load() {
     let fleet_state = steady_fleet();
     let rates = PROMPTS.map(|length| sent_rate(&fleet_state, length));
--- a/crates/apricotknot-core/tests/requested_backoff.rs
+++ b/crates/apricotknot-core/tests/requested_backoff.rs
@@ -53,6 +53,7 @@
         pause_limit: Duration::MAX,
         deadline: now + Duration::from_secs(4),
         rank: 0,
+        price_share: 1.0,
     }
 }
 
--- a/crates/apricotknot-core/tests/support/fleet_simulation.rs
+++ b/crates/apricotknot-core/tests/support/fleet_simulation.rs
@@ -131,6 +131,7 @@
         pause_limit: kind.pause_limit,
         deadline: now + kind.deadline,
         rank: 0,
+        price_share: 1.0,
     }
 }
 
--- a/crates/apricotknot-gateway/src/control/state/mod.rs
+++ b/crates/apricotknot-gateway/src/control/state/mod.rs
@@ -287,6 +287,7 @@
             works: self.fleet.work_snapshots(now),
             ranks: self.fleet.rank_snapshots(),
             waits: self.wait_queue.snapshots(now),
+            price_waits: self.wait_queue.price_waits(),
             crashes: Vec::new(),
             part_crashes: Vec::new(),
             part_answers: Vec::new(),
--- a/crates/apricotknot-gateway/src/control/state/placements.rs
+++ b/crates/apricotknot-gateway/src/control/state/placements.rs
@@ -99,11 +99,10 @@
 
     /// Returns the position of `query` among the requests that wait at any node.
     fn queue_position(&self, query: &PlacementQuery, now: MonotonicTime) -> QueuePosition {
-        let age = now.saturating_sub(query.arrived);
-        let peers = self
-            .fleet
-            .peer_waits(now)
-            .filter(|(_, prompt, waited)| *waited > age && *prompt <= query.size.prompt);
+        let peers = self.fleet.peer_waits(now).filter(|wait| {
+            let is_before = wait.arrived < query.arrived && wait.prompt <= query.size.prompt;
+            is_before && !wait.is_held_by_price
+        });
         QueuePosition {
             rank: self.wait_queue.count_before(query) + peers.count(),
             ahead: self.wait_queue.count_for(&query.service),
--- a/crates/apricotknot-gateway/src/control/wait_queue.rs
+++ b/crates/apricotknot-gateway/src/control/wait_queue.rs
@@ -27,6 +27,14 @@
     pub(super) waits_for: Option<WaitCause>,
 }
 
+impl WaitingRequest {
+    /// Returns whether the request waits for a lower price of engine time, so that it takes nothing
+    /// which others wait for.
+    fn is_held_by_price(&self) -> bool {
+        self.waits_for == Some(WaitCause::Price)
+    }
+}
+
 /// Holds the waiting requests, in no particular order.
 #[derive(Debug, Default)]
 pub(super) struct WaitQueue {
@@ -65,23 +73,28 @@
         self.requests.is_empty()
     }
 
-    /// Counts the requests that come before `query`: older ones that are no larger.
+    /// Counts the requests that come before `query`: older ones that are no larger, and that the price
+    /// of engine time does not hold.
     pub(super) fn count_before(&self, query: &PlacementQuery) -> usize {
-        self.before(query).count()
+        self.before(query).filter(|waiting| !waiting.is_held_by_price()).count()
     }
 
     /// Returns the sum of the prompts that come before `query` at the same endpoints, in tokens.
     pub(super) fn tokens_before(&self, query: &PlacementQuery) -> TokenCount {
         let same = self
             .before(query)
+            .map(|waiting| &waiting.request.query)
             .filter(|other| other.service == query.service && other.regions == query.regions);
         same.fold(0, |sum, other| sum.saturating_add(other.size.prompt))
     }
 
-    fn before(&self, query: &PlacementQuery) -> impl Iterator<Item = &PlacementQuery> {
+    /// Returns the requests that are older than `query` and no larger.
+    fn before(&self, query: &PlacementQuery) -> impl Iterator<Item = &WaitingRequest> {
         let (arrived, prompt) = (query.arrived, query.size.prompt);
-        let others = self.requests.iter().map(|waiting| &waiting.request.query);
-        others.filter(move |other| other.arrived < arrived && other.size.prompt <= prompt)
+        self.requests.iter().filter(move |waiting| {
+            let other = &waiting.request.query;
+            other.arrived < arrived && other.size.prompt <= prompt
+        })
     }
 
     /// Counts the requests of `service` that wait.
@@ -97,8 +110,17 @@
 
     /// Returns the snapshots of waiting requests that are sent to other nodes, up to a limit.
     pub(super) fn snapshots(&self, now: MonotonicTime) -> Vec<WaitSnapshot> {
-        let reported = self.requests.iter().take(FleetState::max_wait_snapshots());
-        reported.map(|waiting| wait_snapshot(&waiting.request.query, now)).collect()
+        self.reported().map(|waiting| wait_snapshot(&waiting.request.query, now)).collect()
+    }
+
+    /// Returns whether the price of engine time holds each request of [`Self::snapshots`], in their
+    /// order.
+    pub(super) fn price_waits(&self) -> Vec<bool> {
+        self.reported().map(WaitingRequest::is_held_by_price).collect()
+    }
+
+    fn reported(&self) -> impl Iterator<Item = &WaitingRequest> {
+        self.requests.iter().take(FleetState::max_wait_snapshots())
     }
 }
 
--- a/crates/apricotknot-gateway/src/driver/admitted_call.rs
+++ b/crates/apricotknot-gateway/src/driver/admitted_call.rs
@@ -6,6 +6,7 @@
 use actix_http::RequestHead;
 use actix_http::header::HOST;
 use apricotknot_core::fleet::RequestFingerprint;
+use apricotknot_core::fleet::price_share;
 use apricotknot_core::routing::CallKind;
 use apricotknot_core::routing::RouteSpec;
 use apricotknot_core::routing::VerifiedAccount;
@@ -35,6 +36,8 @@
     pub service: ServiceId,
     /// Rank of the call's priority.
     pub rank: PriorityRank,
+    /// Share of the price of engine time that the call pays.
+    pub price_share: f64,
     /// Account that the call is made for, if any.
     pub account: Option<VerifiedAccount>,
     /// Regions whose endpoints may run the call, or `None` for all regions.
@@ -95,6 +98,7 @@
         remove_hop_by_hop_headers(&mut head.headers);
         Ok(Self {
             rank,
+            price_share: price_share(rand::random()),
             metadata,
             service,
             account,
--- a/crates/apricotknot-gateway/src/driver/call_telemetry.rs
+++ b/crates/apricotknot-gateway/src/driver/call_telemetry.rs
@@ -82,6 +82,7 @@
             "waited_for" => grant.waited_for.map(WaitCause::name),
             "value" => rounded(grant.evidence.net_value), "price" => rounded(grant.evidence.price),
             "utilization" => rounded(grant.evidence.utilization),
+            "price_share" => rounded(self.call.price_share),
             "waited_ms" => millis(self.now().saturating_sub(self.call.arrived)),
             "version" => self.call.configuration_version,
             "knowledge_ms" => millis(self.call.configuration_age)
@@ -99,6 +100,7 @@
             "waited_for" => evidence.cause.map(WaitCause::name),
             "value" => rounded(evidence.net_value), "price" => rounded(evidence.price),
             "utilization" => rounded(evidence.utilization), "ahead" => evidence.rank,
+            "price_share" => rounded(self.call.price_share),
             "prompt" => self.call.metadata.size.prompt, "rank" => self.call.rank,
             "waited_ms" => millis(self.now().saturating_sub(self.call.arrived))
         );
--- a/crates/apricotknot-gateway/src/driver/placement.rs
+++ b/crates/apricotknot-gateway/src/driver/placement.rs
@@ -84,6 +84,7 @@
                 pause_limit: self.call.route.pause_limit.unwrap_or(Duration::MAX),
                 deadline: self.call.deadline,
                 rank: self.call.rank,
+                price_share: self.call.price_share,
             },
             is_retry: self.sends > 0,
             may_wait,
--- a/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
+++ b/crates/apricotknot-gateway/src/peers/snapshot_codec.rs
@@ -32,6 +32,9 @@
 /// Number of the section with the ranks of the works.
 const RANKS_SECTION: u8 = 7;
 
+/// Number of the section with the waits that the price of engine time holds.
+const PRICE_WAITS_SECTION: u8 = 8;
+
 /// Bytes before the value of a section: its number and the length of the value.
 const SECTION_HEAD_BYTES: usize = 5;
 
@@ -57,6 +60,9 @@
     if snapshot.ranks.iter().any(|rank| *rank != 0) {
         push_section(&mut bytes, RANKS_SECTION, &snapshot.ranks)?;
     }
+    if snapshot.price_waits.contains(&true) {
+        push_section(&mut bytes, PRICE_WAITS_SECTION, &snapshot.price_waits)?;
+    }
     if !snapshot.relayed.is_empty() {
         push_section(&mut bytes, RELAYED_SECTION, &snapshot.relayed)?;
     }
@@ -83,6 +89,7 @@
             LEAVING_SECTION => snapshot.leaving = parse_value(value)?,
             CLOCK_SECTION => snapshot.wall_clock_us = Some(parse_value(value)?),
             RANKS_SECTION => snapshot.ranks = parse_value(value)?,
+            PRICE_WAITS_SECTION => snapshot.price_waits = parse_value(value)?,
             RELAYED_SECTION => snapshot.relayed = parse_value(value)?,
             _ => {},
         }
--- a/crates/apricotknot-gateway/tests/control_state.rs
+++ b/crates/apricotknot-gateway/tests/control_state.rs
@@ -287,6 +287,21 @@
     granted(&mut long);
 }
 
+/// Guards against prompts that wait behind one which waits for a lower price and takes no room.
+#[test]
+fn request_at_another_node_that_the_price_holds_goes_not_first() {
+    let mut node = TestNode::with_engines(4);
+    let mut snapshot = peer_snapshot("peer", 1, Vec::new());
+    snapshot.waits.push(WaitSnapshot { prompt: 30_000, age_ms: 500 });
+    snapshot.price_waits.push(true);
+    node.state.apply_peer_snapshot(snapshot, NOW);
+    let mut long = node.request_placement_with(40_000, NOW, |request| {
+        request.query.target_latency = Duration::from_secs(3);
+        request.query.pause_limit = Duration::from_secs(1);
+    });
+    granted(&mut long);
+}
+
 /// Guards against a queue that grows without end: of many long prompts at once, those that cannot be
 /// read in time are refused as they arrive, and the others wait.
 #[test]
--- a/crates/apricotknot-gateway/tests/peers.rs
+++ b/crates/apricotknot-gateway/tests/peers.rs
@@ -66,6 +66,7 @@
         leaving: vec![LeavingReport { endpoint: "engine".into(), incarnation: 2 }],
         wall_clock_us: None,
         ranks: Vec::new(),
+        price_waits: Vec::new(),
         relayed: vec![RelayedSnapshot { age_ms: 60, bytes: vec![1, 2, 3] }],
     }
 }
@@ -204,6 +205,22 @@
     assert_eq!(ranked, [plain, section].concat());
 }
 
+// Guards against a section of waits that a build without it cannot skip.
+#[test]
+fn landed_build_reads_waits_whose_causes_are_told_in_a_section() {
+    let seal = DatagramSeal::new(b"secret").expect("seal of the secret");
+    let waits = vec![WaitSnapshot { prompt: 5, age_ms: 6 }, WaitSnapshot { prompt: 7, age_ms: 8 }];
+    let plain = LoadSnapshot { waits, relayed: Vec::new(), ..snapshot() };
+    let held = LoadSnapshot { price_waits: vec![false, true], ..plain.clone() };
+    let [plain, bytes] = [&plain, &held].map(|snapshot| seal.encode(snapshot).expect("datagram"));
+    assert_eq!(seal.decode(&bytes), Ok(held));
+    let (plain, bytes) =
+        [&plain, &bytes].map(|bytes| bytes[..bytes.len() - TAG_BYTES].to_vec()).into();
+    // Number, length and value of the section, which follows all that the landed build writes.
+    let section = [&[8, 3, 0, 0, 0][..], &[2, 0, 1]].concat();
+    assert_eq!(bytes, [plain, section].concat());
+}
+
 #[test]
 fn node_record_of_the_landed_build_is_read_and_written_alike() {
     let record: NodeRecord = serde_json::from_slice(LANDED_NODE_RECORD).expect("a record");
--- a/crates/apricotknot-gateway/tests/support/mod.rs
+++ b/crates/apricotknot-gateway/tests/support/mod.rs
@@ -31,6 +31,7 @@
             pause_limit: Duration::from_millis(250),
             deadline: now + Duration::from_secs(10),
             rank: 0,
+            price_share: 1.0,
         },
         is_retry: false,
         may_wait: true,
