fleet: a prompt that was too dear all the time is told to come back after as long again

Cause: one retry delay for all refusals without room.

Change: a refusal for the price states the time that the request has waited, 0.7 to 10 s.

Test: fleet_placement::long_prompt_that_costs_more_than_it_gains_waits_and_is_refused now states the delay; before, 700 ms.

--- a/crates/apricotknot-core/src/fleet/placement.rs
+++ b/crates/apricotknot-core/src/fleet/placement.rs
@@ -41,6 +41,9 @@
 /// Retry delay that is sent to a caller when no endpoint had room in time.
 pub(super) const NO_ROOM_RETRY: Duration = Duration::from_millis(700);
 
+/// Longest retry delay that is sent to a caller whose prompt was too dear all the time.
+const MAX_PRICE_RETRY: Duration = Duration::from_secs(10);
+
 /// Retry delay that is sent to a caller whose request exceeds the memory of all endpoints together.
 const TOO_LARGE_RETRY: Duration = Duration::from_secs(10);
 
@@ -203,7 +206,8 @@
 ) -> PlacementVerdict {
     let has_wait_expired = now >= wait_deadline(query, engine);
     let Some(scored) = plan else {
-        return PlacementVerdict::held(wait_or_refuse(has_wait_expired), WaitCause::Room);
+        let decision = wait_or_refuse(has_wait_expired, NO_ROOM_RETRY);
+        return PlacementVerdict::held(decision, WaitCause::Room);
     };
     let evidence = PlacementEvidence {
         cause: None,
@@ -214,7 +218,11 @@
     };
     let is_long = query.size.prompt >= LONG_PROMPT_TOKENS;
     if is_long && scored.net_value <= scored.time_price {
-        return evidence.verdict(wait_or_refuse(has_wait_expired), Some(WaitCause::Price));
+        // What was too dear all the time is likely to be so for as long again.
+        let waited = now.saturating_sub(query.arrived);
+        let retry_after = waited.clamp(NO_ROOM_RETRY, MAX_PRICE_RETRY);
+        let decision = wait_or_refuse(has_wait_expired, retry_after);
+        return evidence.verdict(decision, Some(WaitCause::Price));
     }
     let may_wait = is_long && !has_wait_expired;
     let can_be_timely = now + fastest_start(engine, query, endpoint_count)
@@ -241,9 +249,9 @@
     prefill.unwrap_or_default() + interval.unwrap_or_default()
 }
 
-fn wait_or_refuse(has_wait_expired: bool) -> PlacementDecision {
+fn wait_or_refuse(has_wait_expired: bool, retry_after: Duration) -> PlacementDecision {
     match has_wait_expired {
-        true => PlacementDecision::Refuse { reason: "no room", retry_after: NO_ROOM_RETRY },
+        true => PlacementDecision::Refuse { reason: "no room", retry_after },
         false => PlacementDecision::Wait,
     }
 }
--- a/crates/apricotknot-core/tests/fleet_placement.rs
+++ b/crates/apricotknot-core/tests/fleet_placement.rs
@@ -154,7 +154,10 @@
     assert_eq!(decide(&fleet_state, &request, FIRST, NOW), PlacementDecision::Wait);
     let late = request.deadline - Duration::from_secs(1);
     let decision = decide(&fleet_state, &request, FIRST, late);
-    assert!(matches!(decision, PlacementDecision::Refuse { .. }), "{decision:?}");
+    let PlacementDecision::Refuse { retry_after, .. } = decision else {
+        panic!("its time to wait is over: {decision:?}");
+    };
+    assert_eq!(retry_after, Duration::from_secs(10), "it was too dear for longer");
 }
 
 #[test]
