--- a/crates/apricotknot-core/src/fleet/fleet_state.rs
+++ b/crates/apricotknot-core/src/fleet/fleet_state.rs
@@ -15,8 +15,6 @@
 use super::PathHealth;
 use super::PlacementPlan;
 use super::PlacementQuery;
-use super::RelayStatus;
-use super::WaitSnapshot;
 use super::WorkItem;
 use super::WorkPhase;
 use super::WorkRole;
@@ -24,6 +22,9 @@
 use super::backoff_table::BackoffTable;
 use super::endpoint_state::EndpointState;
 use super::leaving_table::LeavingTable;
+use super::peer_view::PeerView;
+use super::peer_view::PeerWait;
+use super::peer_view::prefills_missing_in;
 use crate::membership::hash_text;
 use crate::routing::ServiceProfile;
 use crate::types::AttemptId;
@@ -34,7 +35,6 @@
 use crate::types::PriorityRank;
 use crate::types::RegionId;
 use crate::types::ServiceId;
-use crate::types::TokenCount;
 
 /// Time after which the last snapshot of a node is ignored if no newer one arrives.
 const SNAPSHOT_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -45,27 +45,6 @@
 /// Maximum waiting requests in one load snapshot.
 const MAX_WAIT_SNAPSHOTS: usize = 16;
 
-/// A request that waits at another node.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PeerWait {
-    /// Length of the prompt.
-    pub prompt: TokenCount,
-    /// Time at which it arrived there.
-    pub arrived: MonotonicTime,
-    /// Whether the price of engine time holds it.
-    pub is_held_by_price: bool,
-}
-
-#[derive(Clone, Debug)]
-pub(super) struct PeerView {
-    incarnation: u64,
-    sequence: u64,
-    received: MonotonicTime,
-    pub(super) work_items: Vec<WorkItem>,
-    waits: Vec<PeerWait>,
-    pub(super) relay: Option<RelayStatus>,
-}
-
 /// Holds the endpoints that one node knows, its own work and the last snapshot of each other node.
 #[derive(Clone, Debug)]
 pub struct FleetState {
@@ -257,25 +236,15 @@
     ///
     /// An older snapshot is ignored.
     pub fn apply_snapshot(&mut self, snapshot: LoadSnapshot, now: MonotonicTime) -> bool {
-        let order = (snapshot.incarnation, snapshot.sequence);
-        let known = self.peers.get(&snapshot.node);
-        if known.is_some_and(|view| (view.incarnation, view.sequence) >= order) {
+        if self.peers.get(&snapshot.node).is_some_and(|view| !view.is_older_than(&snapshot)) {
             return false;
         }
-        let work_items = work_items(snapshot.works, &snapshot.ranks, now);
-        let known = self.peers.remove(&snapshot.node).map(|view| view.work_items);
-        let known = known.unwrap_or_default();
-        self.add_prefills(&prefills_missing_in(&known, &work_items));
-        self.withdraw_prefills(&prefills_missing_in(&work_items, &known), now);
-        let view = PeerView {
-            incarnation: snapshot.incarnation,
-            sequence: snapshot.sequence,
-            received: now,
-            work_items,
-            waits: peer_waits(&snapshot.waits, &snapshot.price_waits, now),
-            relay: snapshot.relay,
-        };
-        self.peers.insert(snapshot.node, view);
+        let node = NodeId::clone(&snapshot.node);
+        let known = self.peers.remove(&node).map(|view| view.work_items).unwrap_or_default();
+        let view = PeerView::new(snapshot, now);
+        self.add_prefills(&prefills_missing_in(&known, &view.work_items));
+        self.withdraw_prefills(&prefills_missing_in(&view.work_items, &known), now);
+        self.peers.insert(node, view);
         true
     }
 
@@ -419,47 +388,3 @@
         MAX_WAIT_SNAPSHOTS
     }
 }
-
-/// Returns the requests that wait at another node; one without a stated cause counts as not held by
-/// the price.
-fn peer_waits(waits: &[WaitSnapshot], price_waits: &[bool], now: MonotonicTime) -> Vec<PeerWait> {
-    let causes = price_waits.iter().copied().chain(std::iter::repeat(false));
-    let waits = waits.iter().zip(causes).map(|(wait, is_held_by_price)| PeerWait {
-        prompt: u64::from(wait.prompt),
-        arrived: now.saturating_sub(Duration::from_millis(u64::from(wait.age_ms))),
-        is_held_by_price,
-    });
-    waits.collect()
-}
-
-/// Returns the work of another node; work without a stated rank has the usual one.
-fn work_items(
-    works: Vec<WorkSnapshot>,
-    ranks: &[PriorityRank],
-    now: MonotonicTime,
-) -> Vec<WorkItem> {
-    let ranks = ranks.iter().copied().chain(std::iter::repeat(0));
-    works.into_iter().zip(ranks).map(|(work, rank)| work.into_work_item(rank, now)).collect()
-}
-
-/// Returns the prefills of `work_items` that are not among those of `others`, each counted once.
-fn prefills_missing_in(others: &[WorkItem], work_items: &[WorkItem]) -> Vec<WorkItem> {
-    let is_prefill = |work: &&WorkItem| work.phase == WorkPhase::Prefill;
-    let mut others: Vec<&WorkItem> = others.iter().filter(is_prefill).collect();
-    let mut missing = Vec::new();
-    for work in work_items.iter().filter(is_prefill) {
-        match others.iter().position(|other| is_same_prefill(other, work)) {
-            Some(index) => _ = others.swap_remove(index),
-            None => missing.push(work.clone()),
-        }
-    }
-    missing
-}
-
-/// Returns whether two snapshots of a node mean the same prefill; its age differs by their delays.
-fn is_same_prefill(left: &WorkItem, right: &WorkItem) -> bool {
-    left.endpoint == right.endpoint
-        && left.role == right.role
-        && left.prompt == right.prompt
-        && left.prefill_time == right.prefill_time
-}
