--- a/crates/apricotknot-core/tests/prompt_sizes.rs
+++ b/crates/apricotknot-core/tests/prompt_sizes.rs
@@ -68,7 +68,7 @@
     (0..100).filter(is_sent).count() as f64 / 100.0
 }
 
-/// Guards against an incident: no length of wait got the longest prompts sent beside short requests.
+/// Guards against a price that the longest prompts can never pay beside short requests.
 #[test]
 fn longest_prompts_are_sent_at_least_half_as_often_as_their_kind_under_steady_load() {
     let fleet_state = steady_fleet();
