--- a/crates/apricotknot-core/src/fleet/prefill_queue.rs
+++ b/crates/apricotknot-core/src/fleet/prefill_queue.rs
@@ -8,8 +8,8 @@
 /// Estimates when an endpoint will have done all prefills that were sent to it.
 ///
 /// Each prefill begins when those before it are done, and parts of prompts that others run go before the
-/// endpoint's own prompts. A prefill counts to its end also after its request has ended: an estimate from
-/// the requests in progress alone would take those behind it for further than they are.
+/// endpoint's own prompts. A prefill still counts after its request has ended: if it did not, those
+/// behind it would seem to have begun when they were sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PrefillQueue {
     /// End of all prefills.
